rollout: add domain types, decision packages and adapters

Cause: nothing exists yet; every program hangs on the root package's domain types, its interfaces and the verdict. Change: the root package, the pure packages (sample, fair, placement, request, membership, weights, configuration, life), the peer messages and the adapters to engines, services and the platform.

--- /dev/null
+++ b/rollout/configuration/document.go
@@ -0,0 +1,118 @@
+package configuration
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/goccy/go-yaml"
+
+	"lagoonlink.org/rollout"
+)
+
+// Decode reads a configuration from YAML and checks it. Unknown fields, fields
+// declared twice and wrong types are refused with their line.
+func Decode(document []byte) (rollout.Configuration, error) {
+	var c rollout.Configuration
+	if len(document) > MaxRecordBytes {
+		return c, fmt.Errorf("configuration: got %d bytes, expected at most %d", len(document), MaxRecordBytes)
+	}
+	if len(bytes.TrimSpace(document)) == 0 {
+		return c, fmt.Errorf("configuration: the document is empty")
+	}
+	if err := checkDepth(document); err != nil {
+		return c, err
+	}
+	if err := yaml.UnmarshalWithOptions(document, &c, yaml.Strict()); err != nil {
+		return rollout.Configuration{}, rollout.Tried(err, "read the configuration")
+	}
+	if err := c.Check(); err != nil {
+		return rollout.Configuration{}, rollout.Tried(err, "check the configuration")
+	}
+	return c, nil
+}
+
+// maxFlowDepth bounds nesting, which a configuration needs little of.
+const maxFlowDepth = 32
+
+// checkDepth refuses nesting that only a hostile document has, before the
+// parser recurses into it.
+func checkDepth(document []byte) error {
+	depth := 0
+	for _, b := range document {
+		switch b {
+		case '[', '{':
+			depth++
+		case ']', '}':
+			depth = max(0, depth-1)
+		}
+		if depth > maxFlowDepth {
+			return fmt.Errorf("configuration: nested more than %d deep", maxFlowDepth)
+		}
+	}
+	for _, line := range bytes.Split(document, []byte("\n")) {
+		if dashes := bytes.Count(line[:len(line)-len(bytes.TrimLeft(line, "- "))], []byte("-")); dashes > maxFlowDepth {
+			return fmt.Errorf("configuration: nested more than %d deep", maxFlowDepth)
+		}
+	}
+	return nil
+}
+
+// Encode writes a configuration as YAML in declared order.
+func Encode(c rollout.Configuration) ([]byte, error) {
+	data, err := yaml.MarshalWithOptions(c, yaml.IndentSequence(true))
+	return data, rollout.Tried(err, "write the configuration")
+}
+
+// Danger is a change that an operator must accept by name.
+type Danger struct {
+	Name   string
+	Detail string
+}
+
+// widenFactor is how many times a staleness bound may grow without acceptance.
+const widenFactor = 2
+
+// Dangers returns the dangerous changes from one configuration to the next.
+func Dangers(old, next rollout.Configuration) []Danger {
+	var out []Danger
+	for _, p := range old.Pools {
+		n, _ := next.FindPool(p.Name)
+		out = append(out, serverDangers("pool", string(p.Name), p.Servers, n.Servers)...)
+	}
+	for _, s := range old.Services {
+		n, _ := next.FindService(s.Name)
+		out = append(out, serverDangers("service", string(s.Name), s.Servers, n.Servers)...)
+	}
+	for _, t := range old.Trainers {
+		n, ok := next.FindTrainer(t.Name)
+		if !ok {
+			out = append(out, Danger{"trainer-removed/" + string(t.Name), "its open steps are refused"})
+			continue
+		}
+		if n.MaxVersionsBehind > max(1, t.MaxVersionsBehind)*widenFactor {
+			detail := fmt.Sprintf("from %d to %d versions", t.MaxVersionsBehind, n.MaxVersionsBehind)
+			out = append(out, Danger{"bound-widened/" + string(t.Name), detail})
+		}
+	}
+	return out
+}
+
+// serverDangers reports an emptied set, and a server that is removed without
+// having been declared as leaving first.
+func serverDangers(kind, name string, old, next []rollout.Server) []Danger {
+	if len(old) > 0 && len(next) == 0 {
+		return []Danger{{"emptied/" + name, fmt.Sprintf("%s %s keeps no backend server", kind, name)}}
+	}
+	kept := map[rollout.ServerName]bool{}
+	for _, s := range next {
+		kept[s.Name] = true
+	}
+	var out []Danger
+	for _, s := range old {
+		if !kept[s.Name] && !s.Leaving {
+			detail := fmt.Sprintf("%s %s still uses it: declare it Leaving first", kind, name)
+			out = append(out, Danger{"server-removed/" + string(s.Name), detail})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/rollout/life/life.go
@@ -0,0 +1,191 @@
+// Package life defines the state machines of the things that lagoonlink looks
+// after: a sample on its VM, an order to an engine, an entry VM as its peers
+// see it, and a request. The pure packages fire their transitions; the diagrams
+// in the documentation are printed from the same definitions.
+//
+// A machine is shared by all things of its kind that one owner keeps: the state
+// is stored outside, so that a step of 1,024 samples needs one machine.
+package life
+
+import (
+	"context"
+
+	"github.com/qmuntal/stateless"
+)
+
+// State is a state of any machine in this package.
+type State string
+
+// Trigger is an event of any machine in this package.
+type Trigger string
+
+// The states and triggers of a sample on the VM that makes it.
+const (
+	SampleMissing State = "Missing"
+	SampleQueued  State = "Queued"
+	SampleRunning State = "Running"
+	SampleReady   State = "Ready"
+	SampleHeld    State = "Held"
+
+	SampleSubmit  Trigger = "Submit"
+	SampleStart   Trigger = "Start"
+	SampleFinish  Trigger = "Finish"
+	SampleAbandon Trigger = "Abandon"
+	SampleConfirm Trigger = "Confirm"
+	SampleForget  Trigger = "Forget"
+)
+
+// The states and triggers of an order to load weights.
+const (
+	OrderDue       State = "Due"
+	OrderSent      State = "Sent"
+	OrderConfirmed State = "Confirmed"
+	OrderBackoff   State = "Backoff"
+
+	OrderSend    Trigger = "Send"
+	OrderSeen    Trigger = "Seen"
+	OrderFail    Trigger = "Fail"
+	OrderExpire  Trigger = "Expire"
+	OrderReplace Trigger = "Replace"
+)
+
+// The states and triggers of an entry VM as a peer sees it.
+const (
+	VMAlive   State = "Alive"
+	VMSuspect State = "Suspect"
+	VMDead    State = "Dead"
+	VMLeft    State = "Left"
+
+	VMRefute  Trigger = "Refute"
+	VMMiss    Trigger = "Miss"
+	VMConfirm Trigger = "Confirm"
+	VMLeave   Trigger = "Leave"
+	VMRejoin  Trigger = "Rejoin"
+)
+
+// The states and triggers of a request.
+const (
+	RequestQueued     State = "Queued"
+	RequestDispatched State = "Dispatched"
+	RequestWaiting    State = "Waiting"
+	RequestAnswered   State = "Answered"
+	RequestRefused    State = "Refused"
+	RequestBroken     State = "Broken"
+
+	RequestGrant  Trigger = "Grant"
+	RequestAnswer Trigger = "Answer"
+	RequestRetry  Trigger = "Retry"
+	RequestWake   Trigger = "Wake"
+	RequestRefuse Trigger = "Refuse"
+	RequestBreak  Trigger = "Break"
+)
+
+// Store reads and writes the state of the thing that a transition is about.
+type Store struct {
+	Get func() State
+	Set func(State)
+}
+
+// Machine checks and makes transitions of things whose state a Store keeps.
+type Machine struct {
+	machine *stateless.StateMachine
+}
+
+// Fire makes the transition, or returns an error that names the state and the
+// trigger that it does not permit.
+func (m *Machine) Fire(trigger Trigger) error {
+	return m.machine.Fire(trigger)
+}
+
+// Graph returns the machine's diagram in the DOT language.
+func (m *Machine) Graph() string { return m.machine.ToGraph() }
+
+type transition struct {
+	from    State
+	trigger Trigger
+	to      State
+}
+
+func newMachine(s Store, table []transition) *Machine {
+	get := func(context.Context) (stateless.State, error) { return s.Get(), nil }
+	set := func(_ context.Context, to stateless.State) error {
+		s.Set(to.(State))
+		return nil
+	}
+	m := stateless.NewStateMachineWithExternalStorage(get, set, stateless.FiringImmediate)
+	for _, t := range table {
+		if t.from == t.to {
+			m.Configure(t.from).PermitReentry(t.trigger)
+			continue
+		}
+		m.Configure(t.from).Permit(t.trigger, t.to)
+	}
+	return &Machine{machine: m}
+}
+
+// NewSample returns the machine of a sample.
+func NewSample(s Store) *Machine {
+	return newMachine(s, []transition{
+		{SampleMissing, SampleSubmit, SampleQueued},
+		{SampleMissing, SampleConfirm, SampleHeld},
+		{SampleQueued, SampleStart, SampleRunning},
+		{SampleQueued, SampleAbandon, SampleMissing},
+		{SampleQueued, SampleConfirm, SampleHeld},
+		{SampleRunning, SampleStart, SampleRunning},
+		{SampleRunning, SampleFinish, SampleReady},
+		{SampleRunning, SampleAbandon, SampleMissing},
+		{SampleRunning, SampleConfirm, SampleHeld},
+		{SampleReady, SampleConfirm, SampleHeld},
+		{SampleReady, SampleAbandon, SampleMissing},
+		{SampleHeld, SampleForget, SampleMissing},
+	})
+}
+
+// NewOrder returns the machine of an order.
+func NewOrder(s Store) *Machine {
+	return newMachine(s, []transition{
+		{OrderDue, OrderSend, OrderSent},
+		{OrderDue, OrderSeen, OrderConfirmed},
+		{OrderDue, OrderReplace, OrderDue},
+		{OrderSent, OrderSeen, OrderConfirmed},
+		{OrderSent, OrderFail, OrderBackoff},
+		{OrderSent, OrderExpire, OrderBackoff},
+		{OrderSent, OrderReplace, OrderDue},
+		{OrderBackoff, OrderExpire, OrderDue},
+		{OrderBackoff, OrderSeen, OrderConfirmed},
+		{OrderBackoff, OrderReplace, OrderDue},
+		{OrderConfirmed, OrderReplace, OrderDue},
+		{OrderConfirmed, OrderSeen, OrderConfirmed},
+	})
+}
+
+// NewVM returns the machine of an entry VM as a peer sees it.
+func NewVM(s Store) *Machine {
+	return newMachine(s, []transition{
+		{VMAlive, VMMiss, VMSuspect},
+		{VMAlive, VMRefute, VMAlive},
+		{VMAlive, VMConfirm, VMDead},
+		{VMAlive, VMLeave, VMLeft},
+		{VMSuspect, VMRefute, VMAlive},
+		{VMSuspect, VMMiss, VMSuspect},
+		{VMSuspect, VMConfirm, VMDead},
+		{VMSuspect, VMLeave, VMLeft},
+		{VMDead, VMRejoin, VMAlive},
+		{VMDead, VMLeave, VMLeft},
+		{VMLeft, VMRejoin, VMAlive},
+	})
+}
+
+// NewRequest returns the machine of a request.
+func NewRequest(s Store) *Machine {
+	return newMachine(s, []transition{
+		{RequestQueued, RequestGrant, RequestDispatched},
+		{RequestQueued, RequestRefuse, RequestRefused},
+		{RequestDispatched, RequestAnswer, RequestAnswered},
+		{RequestDispatched, RequestRetry, RequestWaiting},
+		{RequestDispatched, RequestRefuse, RequestRefused},
+		{RequestDispatched, RequestBreak, RequestBroken},
+		{RequestWaiting, RequestWake, RequestQueued},
+		{RequestWaiting, RequestRefuse, RequestRefused},
+	})
+}
--- /dev/null
+++ b/rollout/request/suspects.go
@@ -0,0 +1,139 @@
+package request
+
+import (
+	"slices"
+	"time"
+)
+
+// Fingerprint identifies a request's content; it is a hash, so that content
+// never travels.
+type Fingerprint uint64
+
+// Standing says how a request that was in flight at a crash is treated.
+type Standing uint8
+
+// The standings of a fingerprint.
+const (
+	// Clear requests run anywhere.
+	Clear Standing = iota
+	// Suspected requests run alone on a server, one at a time.
+	Suspected
+	// Convicted requests are refused until the conviction lapses.
+	Convicted
+)
+
+// Numbers of the suspicion of crashing requests.
+const (
+	suspicionTime  = time.Minute
+	convictionTime = 10 * time.Minute
+	maxSuspects    = 1024
+)
+
+type suspicion struct {
+	standing Standing
+	crashes  int
+	until    time.Time
+}
+
+// Suspects attributes crashes of servers to the requests that were in flight.
+// After a first crash all of them are suspected and run one at a time, apart
+// from others; the request that is then alone on a server that crashes is
+// convicted, so that a request crashes at most two servers. A suspected request
+// that ends well is clear again.
+type Suspects struct {
+	known map[Fingerprint]suspicion
+}
+
+// NewSuspects returns a state without suspicions.
+func NewSuspects() *Suspects { return &Suspects{known: map[Fingerprint]suspicion{}} }
+
+// Standing returns the standing of a fingerprint.
+func (s *Suspects) Standing(now time.Time, f Fingerprint) Standing {
+	k, ok := s.known[f]
+	if !ok || now.After(k.until) {
+		return Clear
+	}
+	return k.standing
+}
+
+// Crashed tells that a server crashed while the given requests were in flight,
+// and returns those whose standing changed.
+func (s *Suspects) Crashed(now time.Time, inFlight []Fingerprint) []Fingerprint {
+	s.sweep(now)
+	var changed []Fingerprint
+	for _, f := range inFlight {
+		k := s.known[f]
+		k.crashes++
+		alone := len(inFlight) == 1
+		switch {
+		case k.crashes >= 2 && (alone || k.standing == Suspected):
+			k.standing, k.until = Convicted, now.Add(convictionTime)
+		case k.standing == Clear:
+			k.standing, k.until = Suspected, now.Add(suspicionTime)
+		}
+		if _, known := s.known[f]; known || len(s.known) < maxSuspects {
+			s.known[f] = k
+			changed = append(changed, f)
+		}
+	}
+	return changed
+}
+
+// Ended tells that a request ended well.
+func (s *Suspects) Ended(f Fingerprint) { delete(s.known, f) }
+
+// Rumor is a suspicion as it travels between VMs.
+type Rumor struct {
+	Fingerprint Fingerprint
+	Crashes     int
+	Convicted   bool
+}
+
+// Rumors returns up to limit suspicions, convictions first.
+func (s *Suspects) Rumors(now time.Time, limit int) []Rumor {
+	var all []Rumor
+	for f, k := range s.known {
+		if !now.After(k.until) {
+			all = append(all, Rumor{Fingerprint: f, Crashes: k.crashes, Convicted: k.standing == Convicted})
+		}
+	}
+	slices.SortFunc(all, func(a, b Rumor) int {
+		if a.Convicted != b.Convicted {
+			if a.Convicted {
+				return -1
+			}
+			return 1
+		}
+		if a.Fingerprint < b.Fingerprint {
+			return -1
+		}
+		return 1
+	})
+	return all[:min(limit, len(all))]
+}
+
+// Heard takes a suspicion from another VM.
+func (s *Suspects) Heard(now time.Time, r Rumor) {
+	k := s.known[r.Fingerprint]
+	if k.crashes >= r.Crashes && (k.standing == Convicted || !r.Convicted) {
+		return
+	}
+	if len(s.known) >= maxSuspects && k.crashes == 0 {
+		return
+	}
+	k.crashes = max(k.crashes, r.Crashes)
+	if r.Convicted {
+		k.standing, k.until = Convicted, now.Add(convictionTime)
+	} else if k.standing == Clear {
+		k.standing, k.until = Suspected, now.Add(suspicionTime)
+	}
+	s.known[r.Fingerprint] = k
+}
+
+func (s *Suspects) sweep(now time.Time) {
+	for f, k := range s.known {
+		if now.After(k.until) {
+			delete(s.known, f)
+		}
+	}
+}
