lagoonlink: serve the whole path, thin

Cause: no program existed above the domain types. Change: the entry VM's daemon, the operators' command, the declaration library with two deployments, and a bench with stand-ins of engines, services, the log, the weight store, the VM list, trainers and callers.

--- /dev/null
+++ b/lagoonbench/internal/cmd/cmd.go
@@ -0,0 +1,107 @@
+// Package cmd is the command line of lagoonbench.
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"lagoonlink.org/lagoonbench/internal/report"
+	"lagoonlink.org/lagoonbench/internal/scenario"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+)
+
+var errBroken = errors.New("a promise was broken")
+
+// Main runs the command line and returns the exit code.
+func Main(arguments []string) int {
+	if err := command(os.Stdout).Run(context.Background(), arguments); err != nil {
+		fmt.Fprintln(os.Stderr, "lagoonbench:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func command(out io.Writer) *cli.Command {
+	common := []cli.Flag{
+		&cli.StringFlag{Name: "programs", Usage: "`FOLDER` with the built programs", Value: programs()},
+		&cli.Uint64Flag{Name: "seed", Usage: "seed of lengths and faults", Value: 1},
+	}
+	return &cli.Command{
+		Name:  "lagoonbench",
+		Usage: "run lagoonlink against stand-ins, and report what was promised against what happened",
+		Commands: []*cli.Command{
+			{
+				Name:   "demo",
+				Usage:  "run the whole path once and print a summary",
+				Flags:  common,
+				Action: func(ctx context.Context, c *cli.Command) error { return run(ctx, out, c, "demo") },
+			},
+			{
+				Name:  "run",
+				Usage: "run a scenario",
+				Flags: append([]cli.Flag{
+					&cli.StringFlag{Name: "scenario", Usage: "`NAME` of the scenario"},
+					&cli.StringFlag{Name: "report", Usage: "write the report as JSON to `FILE`"},
+					&cli.StringFlag{Name: "variant", Usage: "run a baseline: `NAME`"},
+					&cli.BoolFlag{Name: "list", Usage: "list the scenarios"},
+				}, common...),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					if c.Bool("list") {
+						return list(out)
+					}
+					return run(ctx, out, c, c.String("scenario"))
+				},
+			},
+		},
+	}
+}
+
+func programs() string {
+	executable, err := os.Executable()
+	if err != nil {
+		return "."
+	}
+	return scenario.DefaultPrograms(executable)
+}
+
+func list(out io.Writer) error {
+	for _, s := range scenario.All() {
+		fmt.Fprintf(out, "%-18s %s\n", s.Name, s.Description)
+	}
+	return nil
+}
+
+func run(ctx context.Context, out io.Writer, c *cli.Command, name string) error {
+	s, err := scenario.Find(name)
+	if err != nil {
+		return err
+	}
+	r, err := scenario.Execute(ctx, s, scenario.Options{Programs: c.String("programs"), Seed: c.Uint64("seed"), Variant: c.String("variant")})
+	if printed := r.Summary(out); printed != nil {
+		return printed
+	}
+	if file := c.String("report"); file != "" {
+		err = errors.Join(err, r.WriteFile(file))
+	}
+	if err != nil {
+		return err
+	}
+	return verdict(r)
+}
+
+func verdict(r report.Report) error {
+	if r.Broken() > 0 {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/lagoonbench/internal/report/report.go
@@ -0,0 +1,245 @@
+// Package report holds what a run found: what was promised against what the
+// stand-ins saw, and how long things took.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Promises counts what broke a promise; all should be 0.
+type Promises struct {
+	Lost                int
+	Duplicated          int
+	Stale               int
+	Mislabelled         int
+	IncompleteAnswers   int
+	RanTwice            int
+	RanAfterNotRun      int
+	CutOffInProgress    int
+	NewWorkAfterLeaving int
+	ConfigReverts       int
+}
+
+// Broken returns how many promises were broken in all.
+func (p Promises) Broken() int {
+	return p.Lost + p.Duplicated + p.Stale + p.Mislabelled + p.IncompleteAnswers + p.RanTwice +
+		p.RanAfterNotRun + p.CutOffInProgress + p.NewWorkAfterLeaving + p.ConfigReverts
+}
+
+// Distribution summarizes measured values.
+type Distribution struct {
+	Count         int
+	Mean          float64
+	P50, P90, P99 float64
+	Max           float64
+	// Values are kept for plots.
+	Values []float64 `json:",omitempty"`
+}
+
+// Report is the result of one run of a scenario.
+type Report struct {
+	Scenario string
+	Seed     uint64
+	Variant  string
+	Seconds  float64
+	Samples  int
+	Promises
+	// TrainerIdleShare is by trainer, of the time from its first step on.
+	TrainerIdleShare map[string]float64
+	// Staleness is versions behind at receipt, by trainer.
+	Staleness map[string]Distribution
+	// Latency is in seconds, by "tenant/class".
+	Latency map[string]Distribution
+	// Refused counts explicit refusals by "class/reason/verdict".
+	Refused map[string]int
+	// Answered counts whole answers by class.
+	Answered        map[string]int
+	TokensGenerated int
+	TokensDelivered int
+	WastedShare     float64
+	EngineCrashes   int
+	LogAppends      map[string]int
+	// Notes tell what the run did, in order.
+	Notes []string
+}
+
+// Collector gathers a report from many goroutines.
+type Collector struct {
+	mu        sync.Mutex
+	report    Report
+	staleness map[string][]float64
+	latency   map[string][]float64
+	begun     time.Time
+}
+
+// NewCollector returns an empty collector.
+func NewCollector(scenario string, seed uint64) *Collector {
+	return &Collector{
+		begun: time.Now(),
+		report: Report{
+			Scenario: scenario, Seed: seed, TrainerIdleShare: map[string]float64{}, Refused: map[string]int{}, Answered: map[string]int{},
+		},
+		staleness: map[string][]float64{},
+		latency:   map[string][]float64{},
+	}
+}
+
+// Change changes the report.
+func (c *Collector) Change(change func(*Report)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.report)
+}
+
+// Note records what the run did.
+func (c *Collector) Note(format string, arguments ...any) {
+	text := fmt.Sprintf("%6.2fs %s", time.Since(c.begun).Seconds(), fmt.Sprintf(format, arguments...))
+	c.Change(func(r *Report) { r.Notes = append(r.Notes, text) })
+}
+
+// Stale records how many versions behind a sample was at receipt.
+func (c *Collector) Stale(trainer string, versions float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.staleness[trainer] = append(c.staleness[trainer], versions)
+}
+
+// Answered records a whole answer and how long it took.
+func (c *Collector) Answered(tenant, class string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.report.Answered[class]++
+	key := tenant + "/" + class
+	c.latency[key] = append(c.latency[key], took.Seconds())
+}
+
+// Refused records an explicit refusal.
+func (c *Collector) Refused(class, reason, verdict string) {
+	c.Change(func(r *Report) { r.Refused[class+"/"+reason+"/"+verdict]++ })
+}
+
+// Finish returns the report.
+func (c *Collector) Finish() Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.report
+	r.Seconds = time.Since(c.begun).Seconds()
+	r.Staleness = distributions(c.staleness)
+	r.Latency = distributions(c.latency)
+	if r.TokensGenerated > 0 {
+		r.WastedShare = max(0, 1-float64(r.TokensDelivered)/float64(r.TokensGenerated))
+	}
+	return r
+}
+
+func distributions(values map[string][]float64) map[string]Distribution {
+	out := map[string]Distribution{}
+	for k, v := range values {
+		out[k] = Distribute(v)
+	}
+	return out
+}
+
+// Distribute summarizes values.
+func Distribute(values []float64) Distribution {
+	if len(values) == 0 {
+		return Distribution{}
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	at := func(p float64) float64 { return stat.Quantile(p, stat.Empirical, sorted, nil) }
+	return Distribution{
+		Count: len(sorted), Mean: stat.Mean(sorted, nil), P50: at(0.5), P90: at(0.9), P99: at(0.99), Max: sorted[len(sorted)-1], Values: sorted,
+	}
+}
+
+// WriteFile writes the report as JSON.
+func (r Report) WriteFile(path string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o644)
+}
+
+// ReadFile reads a report.
+func ReadFile(path string) (Report, error) {
+	var r Report
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return r, err
+	}
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("%s: %w", path, err)
+	}
+	return r, nil
+}
+
+// Summary writes the report for people.
+func (r Report) Summary(w io.Writer) error {
+	for _, n := range r.Notes {
+		fmt.Fprintln(w, n)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "scenario %s\tseed %d\t%.1f s\n", r.Scenario, r.Seed, r.Seconds)
+	fmt.Fprintf(t, "samples delivered\t%d\n", r.Samples)
+	for _, row := range r.promiseRows() {
+		fmt.Fprintf(t, "%s\t%d\n", row.name, row.count)
+	}
+	for _, k := range sortedKeys(r.TrainerIdleShare) {
+		fmt.Fprintf(t, "idle share of %s\t%.3f\n", k, r.TrainerIdleShare[k])
+	}
+	for _, k := range sortedKeys(r.Staleness) {
+		d := r.Staleness[k]
+		fmt.Fprintf(t, "versions behind, %s\tmean %.2f\tp99 %.0f\tmax %.0f\n", k, d.Mean, d.P99, d.Max)
+	}
+	for _, k := range sortedKeys(r.Latency) {
+		d := r.Latency[k]
+		fmt.Fprintf(t, "latency of %s\t%d answers\tp50 %.1f ms\tp99 %.1f ms\n", k, d.Count, d.P50*1000, d.P99*1000)
+	}
+	for _, k := range sortedKeys(r.Refused) {
+		fmt.Fprintf(t, "refused %s\t%d\n", k, r.Refused[k])
+	}
+	fmt.Fprintf(t, "tokens generated\t%d\twasted %.1f %%\n", r.TokensGenerated, r.WastedShare*100)
+	fmt.Fprintf(t, "engine crashes\t%d\n", r.EngineCrashes)
+	fmt.Fprintf(t, "promises broken\t%d\n", r.Broken())
+	return t.Flush()
+}
+
+type promiseRow struct {
+	name  string
+	count int
+}
+
+func (r Report) promiseRows() []promiseRow {
+	p := r.Promises
+	return []promiseRow{
+		{"Lost", p.Lost},
+		{"Duplicated", p.Duplicated},
+		{"Stale", p.Stale},
+		{"Mislabelled", p.Mislabelled},
+		{"IncompleteAnswers", p.IncompleteAnswers},
+		{"RanTwice", p.RanTwice},
+		{"RanAfterNotRun", p.RanAfterNotRun},
+		{"CutOffInProgress", p.CutOffInProgress},
+		{"NewWorkAfterLeaving", p.NewWorkAfterLeaving},
+		{"ConfigReverts", p.ConfigReverts},
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/lagoonbench/internal/scenario/catalogue.go
@@ -0,0 +1,54 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// All returns the scenarios in the order of the list.
+func All() []Scenario {
+	return []Scenario{demo()}
+}
+
+// Find returns the scenario with a name.
+func Find(name string) (Scenario, error) {
+	for _, s := range All() {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return Scenario{}, fmt.Errorf("scenario: got %q, see --list", name)
+}
+
+// demo touches the whole path once: three zones, two trainers, a service, new
+// weights and a changed configuration.
+func demo() Scenario {
+	return Scenario{
+		Name:        "demo",
+		Description: "3 entry VMs in 3 zones, 2 trainers, callers, new weights and a configuration change",
+		Deployment:  "tsehay",
+		VMs:         3,
+		Load:        DefaultLoad(),
+		Events:      changeConfiguration,
+	}
+}
+
+// changeDelay is when the configuration changes.
+const changeDelay = 2 * time.Second
+
+// changeConfiguration publishes a narrower bound while everything runs.
+func changeConfiguration(ctx context.Context, r *Run) error {
+	time.Sleep(changeDelay)
+	changed := strings.Replace(string(r.Environment.Document), "MaxConcurrency: 32", "MaxConcurrency: 24", 1)
+	begun := time.Now()
+	if out, err := r.Environment.Publish([]byte(changed)); err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	if err := r.Environment.AwaitVersion(ctx, 2); err != nil {
+		return err
+	}
+	r.Collector.Note("version 2 is in force everywhere after %.0f ms", time.Since(begun).Seconds()*1000)
+	return nil
+}
--- /dev/null
+++ b/lagoonctl/internal/cmd/cmd.go
@@ -0,0 +1,352 @@
+// Package cmd is the command line of lagoonctl.
+//
+// Exit codes: 0 done; 1 failed; 2 the command line is wrong; 3 the publication
+// was refused; 4 there are differences (diff).
+package cmd
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/user"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"lagoonlink.org/lagoonctl/internal/publish"
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/configuration"
+	"lagoonlink.org/rollout/exchange"
+	"lagoonlink.org/rollout/platform"
+)
+
+// Exit codes.
+const (
+	exitOK        = 0
+	exitFailed    = 1
+	exitUsage     = 2
+	exitRefused   = 3
+	exitDifferent = 4
+)
+
+// exitError is an error with an exit code of its own.
+type exitError struct {
+	code int
+	text string
+}
+
+func (e exitError) Error() string { return e.text }
+
+// program is one run of the command.
+type program struct {
+	in       io.Reader
+	out, err io.Writer
+}
+
+// Main runs the command line and returns the exit code.
+func Main(arguments []string, in io.Reader, out, errOut io.Writer) int {
+	p := &program{in: in, out: out, err: errOut}
+	err := p.command().Run(context.Background(), arguments)
+	if err == nil {
+		return exitOK
+	}
+	var exit exitError
+	if errors.As(err, &exit) {
+		fmt.Fprintln(errOut, exit.text)
+		return exit.code
+	}
+	fmt.Fprintln(errOut, "lagoonctl:", err)
+	return exitFailed
+}
+
+func (p *program) command() *cli.Command {
+	common := []cli.Flag{
+		&cli.StringFlag{Name: "log", Usage: "`ADDRESS` of the platform's log, IP number and port", Sources: cli.EnvVars("LAGOONCTL_LOG")},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		&cli.DurationFlag{Name: "timeout", Usage: "longest time to try", Value: 30 * time.Second},
+		&cli.StringSliceFlag{Name: "operator-key", Usage: "operators' public `KEY` that publications must be signed with", Sources: cli.EnvVars("LAGOONCTL_OPERATOR_KEYS")},
+	}
+	return &cli.Command{
+		Name:      "lagoonctl",
+		Usage:     "check, publish and show configurations",
+		ErrWriter: p.err,
+		Commands: []*cli.Command{
+			{Name: "check", Usage: "check a configuration", ArgsUsage: "FILE|-", Action: p.check},
+			{Name: "diff", Usage: "compare a configuration with the one in force", ArgsUsage: "FILE|-", Flags: common, Action: p.diff},
+			{
+				Name: "publish", Usage: "publish a configuration", ArgsUsage: "FILE|-", Action: p.publish,
+				Flags: append([]cli.Flag{
+					&cli.IntFlag{Name: "base", Usage: "`VERSION` that the change was made on; the one in force when left out", Value: -1},
+					&cli.StringSliceFlag{Name: "accept", Usage: "accept the dangerous change `NAME`"},
+					&cli.StringFlag{Name: "author", Usage: "`NAME` in the history", Value: currentUser()},
+					&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the operator's ed25519 seed in hexadecimal"},
+				}, common...),
+			},
+			{Name: "history", Usage: "show the latest publications", Flags: common, Action: p.history},
+			{Name: "show", Usage: "print the configuration in force on the log", Flags: common, Action: p.show},
+			{
+				Name: "status", Usage: "show what is in force on which entry VM", Action: p.status,
+				Flags: append([]cli.Flag{&cli.StringSliceFlag{Name: "vm", Usage: "operations `ADDRESS` of an entry VM"}}, common...),
+			},
+		},
+	}
+}
+
+func currentUser() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// maxInputBytes bounds what is read from a file or standard input.
+const maxInputBytes = configuration.MaxRecordBytes
+
+func (p *program) read(c *cli.Command) ([]byte, error) {
+	name := c.Args().First()
+	if name == "" || c.Args().Len() > 1 {
+		return nil, exitError{exitUsage, "expected one FILE, or - for standard input"}
+	}
+	in := p.in
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		in = f
+	}
+	data, err := io.ReadAll(io.LimitReader(in, maxInputBytes+1))
+	if err == nil && len(data) > maxInputBytes {
+		err = fmt.Errorf("%s: more than %d bytes", name, maxInputBytes)
+	}
+	return data, err
+}
+
+// readChecked returns a document that passes the checks.
+func (p *program) readChecked(c *cli.Command) ([]byte, rollout.Configuration, error) {
+	document, err := p.read(c)
+	if err != nil {
+		return nil, rollout.Configuration{}, err
+	}
+	parsed, err := configuration.Decode(document)
+	return document, parsed, err
+}
+
+func (p *program) check(_ context.Context, c *cli.Command) error {
+	_, parsed, err := p.readChecked(c)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(p.out, "configuration %s is valid: %d pools, %d services, %d trainers, %d callers\n",
+		parsed.Name, len(parsed.Pools), len(parsed.Services), len(parsed.Trainers), len(parsed.Callers))
+	return nil
+}
+
+// connect returns a client of the log.
+func (p *program) connect(c *cli.Command) (*publish.Client, error) {
+	address := c.String("log")
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return nil, exitError{exitUsage, fmt.Sprintf("--log: got %q, expected IP number and port", address)}
+	}
+	client := platform.New(exchange.New(exchange.Config{Connect: 2 * time.Second, IdlePerServer: 1}), platform.Addresses{Log: address})
+	keys := c.StringSlice("operator-key")
+	if len(keys) == 0 {
+		return publish.New(client, configuration.Checks{}), nil
+	}
+	return publish.New(client, configuration.Checks{Signed: func(pub configuration.Publication) error { return signedByOne(keys, pub) }}), nil
+}
+
+func signedByOne(keys []string, pub configuration.Publication) error {
+	for _, text := range keys {
+		key, err := hex.DecodeString(text)
+		if err == nil && len(key) == ed25519.PublicKeySize && ed25519.Verify(key, pub.SigningBytes(), pub.Signature) {
+			return nil
+		}
+	}
+	return errors.New("the publication is not signed with an operator's key")
+}
+
+func (p *program) state(ctx context.Context, c *cli.Command) (*publish.Client, configuration.State, error) {
+	client, err := p.connect(c)
+	if err != nil {
+		return nil, configuration.State{}, err
+	}
+	s, err := client.Read(ctx)
+	return client, s, err
+}
+
+func (p *program) diff(ctx context.Context, c *cli.Command) error {
+	_, next, err := p.readChecked(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	_, s, err := p.state(ctx, c)
+	if err != nil {
+		return err
+	}
+	old, err := inForce(s)
+	if err != nil {
+		return err
+	}
+	changes, dangers := configuration.Diff(old, next), configuration.Dangers(old, next)
+	if c.Bool("json") {
+		err = p.json(struct {
+			Base    rollout.ConfigurationVersion
+			Changes []configuration.Change
+			Dangers []configuration.Danger
+		}{s.Version, changes, dangers})
+	} else {
+		fmt.Fprintf(p.out, "compared with version %d\n", s.Version)
+		p.changes(changes)
+		p.dangers(dangers)
+	}
+	if err == nil && len(changes) > 0 {
+		return exitError{exitDifferent, fmt.Sprintf("%d differences", len(changes))}
+	}
+	return err
+}
+
+func inForce(s configuration.State) (rollout.Configuration, error) {
+	if s.Version == 0 {
+		return rollout.Configuration{}, nil
+	}
+	return configuration.Decode(s.Document)
+}
+
+func (p *program) changes(changes []configuration.Change) {
+	for _, d := range changes {
+		fmt.Fprintf(p.out, "  %s: %s -> %s\n", d.Path, orNone(d.Old), orNone(d.New))
+	}
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "(none)"
+	}
+	return text
+}
+
+func (p *program) dangers(dangers []configuration.Danger) {
+	for _, d := range dangers {
+		fmt.Fprintf(p.out, "dangerous: %s: needs --accept %s\n", d.Detail, d.Name)
+	}
+}
+
+func (p *program) json(value any) error {
+	e := json.NewEncoder(p.out)
+	e.SetIndent("", "  ")
+	return e.Encode(value)
+}
+
+func (p *program) publish(ctx context.Context, c *cli.Command) error {
+	document, next, err := p.readChecked(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	client, before, err := p.state(ctx, c)
+	if err != nil {
+		return err
+	}
+	wish := publish.Wish{Document: document, Base: before.Version, Author: c.String("author"), Accept: c.StringSlice("accept")}
+	if base := c.Int("base"); base >= 0 {
+		wish.Base = rollout.ConfigurationVersion(base)
+	}
+	if wish.Key, err = readKey(c.String("key-file")); err != nil {
+		return err
+	}
+	outcome, after, err := client.Publish(ctx, wish)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		err = p.json(outcome)
+	}
+	if outcome.Result != configuration.Accepted {
+		return p.explain(outcome, before, after, next)
+	}
+	if !c.Bool("json") {
+		fmt.Fprintf(p.out, "version %d is accepted at offset %d\n", outcome.Version, outcome.Offset)
+	}
+	return err
+}
+
+// explain tells why a publication was refused and what to do next.
+func (p *program) explain(o configuration.Outcome, before, after configuration.State, wanted rollout.Configuration) error {
+	if o.Result == configuration.RefusedBase {
+		base, _ := inForce(before)
+		theirs, _ := inForce(after)
+		fmt.Fprintf(p.out, "changed by others since version %d:\n", before.Version)
+		p.changes(configuration.Diff(base, theirs))
+		fmt.Fprintf(p.out, "changed by you:\n")
+		p.changes(configuration.Diff(base, wanted))
+		fmt.Fprintf(p.out, "take their changes into your declaration, look at lagoonctl diff, and publish again\n")
+	}
+	return exitError{exitRefused, fmt.Sprintf("refused: %s: %s", o.Result, o.Detail)}
+}
+
+func readKey(file string) (ed25519.PrivateKey, error) {
+	if file == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("--key-file: %w", err)
+	}
+	seed, err := hex.DecodeString(strings.TrimSpace(string(text)))
+	if err != nil || len(seed) != ed25519.SeedSize {
+		return nil, fmt.Errorf("--key-file %s: expected %d bytes in hexadecimal", file, ed25519.SeedSize)
+	}
+	return ed25519.NewKeyFromSeed(seed), nil
+}
+
+func (p *program) history(ctx context.Context, c *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	_, s, err := p.state(ctx, c)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return p.json(s.Outcomes)
+	}
+	w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "OFFSET\tVERSION\tRESULT\tAUTHOR\tDETAIL")
+	for _, o := range s.Outcomes {
+		fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\n", o.Offset, o.Version, o.Result, o.Author, strings.ReplaceAll(o.Detail, "\n", "; "))
+	}
+	return w.Flush()
+}
+
+func (p *program) show(ctx context.Context, c *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	_, s, err := p.state(ctx, c)
+	if err != nil {
+		return err
+	}
+	if s.Version == 0 {
+		return errors.New("no configuration was published yet")
+	}
+	if c.Bool("json") {
+		return p.json(struct {
+			Version  rollout.ConfigurationVersion
+			Digest   string
+			Document string
+		}{s.Version, s.Digest, string(s.Document)})
+	}
+	_, err = p.out.Write(s.Document)
+	return err
+}
--- /dev/null
+++ b/lagoonlink/internal/entry/problem.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"lagoonlink.org/rollout"
+)
+
+// Problem is the body of a refusal, as application/problem+json. The standard's
+// members keep the standard's names.
+type Problem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail,omitempty"`
+	Verdict string
+	Reason  rollout.Reason
+}
+
+// statusOf returns the HTTP status for a reason.
+func statusOf(r rollout.Reason) int {
+	switch r {
+	case rollout.ReasonBadRequest:
+		return http.StatusBadRequest
+	case rollout.ReasonUnauthorized:
+		return http.StatusUnauthorized
+	case rollout.ReasonUnknownTarget, rollout.ReasonStepUnknown:
+		return http.StatusNotFound
+	case rollout.ReasonPullSuperseded, rollout.ReasonAlreadyRequested, rollout.ReasonIdentityUnknown:
+		return http.StatusConflict
+	case rollout.ReasonOverloaded, rollout.ReasonSuspect, rollout.ReasonLogLimited:
+		return http.StatusTooManyRequests
+	case rollout.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case rollout.ReasonServerFailed, rollout.ReasonTruncated:
+		return http.StatusBadGateway
+	case rollout.ReasonInternal:
+		return http.StatusInternalServerError
+	}
+	return http.StatusServiceUnavailable
+}
+
+func problemOf(f *rollout.Failure) Problem {
+	status := statusOf(f.Reason)
+	return Problem{
+		Type:    "about:blank",
+		Title:   http.StatusText(status),
+		Status:  status,
+		Detail:  f.Detail,
+		Verdict: f.Verdict.String(),
+		Reason:  f.Reason,
+	}
+}
+
+// refuse answers with a problem document, unless an answer has begun.
+func (e *Entry) refuse(c *app.RequestContext, f *rollout.Failure) {
+	if c.Response.GetHijackWriter() != nil {
+		return
+	}
+	e.config.Metrics.Tagged(map[string]string{"reason": string(f.Reason), "verdict": f.Verdict.String()}).Counter("refusals").Inc(1)
+	p := problemOf(f)
+	body, err := json.Marshal(p)
+	if err != nil {
+		body = []byte("{}")
+	}
+	if f.RetryAfter > 0 {
+		seconds := int((f.RetryAfter + time.Second - 1) / time.Second)
+		c.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	c.Data(p.Status, "application/problem+json", body)
+}
--- /dev/null
+++ b/lagoonlink/internal/status/status.go
@@ -0,0 +1,208 @@
+// Package status serves an entry VM's operations port: health, readiness,
+// metrics that a Prometheus-compatible scraper reads, the log level, and a page
+// that says what this VM sees. It shows no token, key or prompt.
+package status
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+
+	"lagoonlink.org/lagoonlink/internal/dispatch"
+	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/holder"
+	"lagoonlink.org/lagoonlink/internal/inforce"
+	"lagoonlink.org/lagoonlink/internal/peer"
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/membership"
+	"lagoonlink.org/rollout/placement"
+)
+
+// Config configures the port.
+type Config struct {
+	VM       rollout.VMName
+	Zone     rollout.Zone
+	Address  string
+	InForce  *inforce.Holder
+	Dispatch *dispatch.Dispatcher
+	Holder   *holder.Holder
+	Node     *peer.Node
+	LastRead func() time.Time
+	Active   func() int
+	Metrics  http.Handler
+	Logger   *event.Logger
+}
+
+// Server serves the port.
+type Server struct {
+	config Config
+	server *server.Hertz
+	ready  atomic.Bool
+}
+
+// New returns a server that is not listening yet.
+func New(c Config) *Server {
+	s := &Server{config: c}
+	h := server.New(
+		server.WithHostPorts(c.Address),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(time.Second),
+	)
+	h.GET("/health", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "alive\n") })
+	h.GET("/ready", s.readiness)
+	h.GET("/metrics", adaptor.HertzHandler(c.Metrics))
+	h.GET("/status", s.status)
+	h.PUT("/log-level", s.logLevel)
+	s.server = h
+	return s
+}
+
+// Run listens until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- s.server.Run() }()
+	select {
+	case err := <-failed:
+		return rollout.Tried(err, "listen for operators on %s", s.config.Address)
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	return s.server.Shutdown(stop)
+}
+
+// SetReady tells the balancer whether to send requests here.
+func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
+
+func (s *Server) readiness(_ context.Context, c *app.RequestContext) {
+	switch {
+	case !s.ready.Load():
+		c.String(http.StatusServiceUnavailable, "stopping\n")
+	case s.config.InForce.Current() == nil:
+		c.String(http.StatusServiceUnavailable, "no configuration\n")
+	default:
+		c.String(http.StatusOK, "ready\n")
+	}
+}
+
+func (s *Server) logLevel(_ context.Context, c *app.RequestContext) {
+	if err := s.config.Logger.SetLevel(strings.TrimSpace(string(c.Request.Body()))); err != nil {
+		c.String(http.StatusBadRequest, err.Error()+"\n")
+		return
+	}
+	c.String(http.StatusOK, "changed\n")
+}
+
+// Page is the status page.
+type Page struct {
+	VM      rollout.VMName
+	Zone    rollout.Zone
+	Ready   bool
+	Active  int
+	InForce InForce
+	VMs     []membership.Member
+	Targets []dispatch.DeskView
+	Steps   []holder.StepView
+	Traffic Traffic
+	Process Process
+}
+
+// InForce says which configuration is in force, and since when.
+type InForce struct {
+	Version     rollout.ConfigurationVersion
+	Digest      string
+	Since       time.Time
+	LogLastRead time.Time
+}
+
+// Traffic is what passed the peer port so far.
+type Traffic struct {
+	SentBytes, ReceivedBytes, SentMessages, ReceivedMessages uint64
+}
+
+// Process is what the process uses.
+type Process struct {
+	Goroutines  int
+	HeapBytes   uint64
+	SystemBytes uint64
+}
+
+// viewTimeout bounds the wait for the duties' views.
+const viewTimeout = time.Second
+
+func (s *Server) page(ctx context.Context) Page {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	p := Page{
+		VM:      s.config.VM,
+		Zone:    s.config.Zone,
+		Ready:   s.ready.Load(),
+		Active:  s.config.Active(),
+		VMs:     s.config.Node.Members(),
+		Targets: s.config.Dispatch.Views(ctx),
+		Steps:   s.config.Holder.Views(ctx),
+		Process: process(),
+	}
+	if v := s.config.InForce.Current(); v != nil {
+		p.InForce = InForce{Version: v.Version, Digest: v.Digest, Since: v.Since, LogLastRead: s.config.LastRead()}
+	}
+	t := &s.config.Node.Traffic
+	p.Traffic = Traffic{t.SentBytes.Load(), t.ReceivedBytes.Load(), t.SentMessages.Load(), t.ReceivedMessages.Load()}
+	return p
+}
+
+func process() Process {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return Process{Goroutines: runtime.NumGoroutine(), HeapBytes: m.HeapInuse, SystemBytes: m.Sys}
+}
+
+func (s *Server) status(ctx context.Context, c *app.RequestContext) {
+	p := s.page(ctx)
+	if c.Query("Format") == "Text" {
+		c.String(http.StatusOK, p.text())
+		return
+	}
+	c.JSON(http.StatusOK, p)
+}
+
+// text returns the page for people.
+func (p Page) text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "VM %s in %s, ready: %t, requests in progress: %d\n", p.VM, p.Zone, p.Ready, p.Active)
+	fmt.Fprintf(&b, "configuration in force: version %d since %s, log last read %s\n", p.InForce.Version, p.InForce.Since.Format(time.RFC3339), p.InForce.LogLastRead.Format(time.RFC3339))
+	fmt.Fprintf(&b, "\nentry VMs\n")
+	for _, m := range p.VMs {
+		fmt.Fprintf(&b, "  %-20s %-10s %-22s %s since %s\n", m.Name, m.Zone, m.Address, m.State, m.Since.Format(time.RFC3339))
+	}
+	for _, t := range p.Targets {
+		fmt.Fprintf(&b, "\npool or service %s%s, queued: %v\n", t.Target.Pool, t.Target.Service, t.Queued)
+		for _, v := range t.Servers {
+			fmt.Fprintf(&b, "  %-20s %-10s in flight %d of %.1f%s %v\n", v.Server, v.Zone, v.InFlight, v.Limit, flags(v), v.Loaded)
+		}
+	}
+	fmt.Fprintf(&b, "\nsteps held here\n")
+	for _, v := range p.Steps {
+		fmt.Fprintf(&b, "  %-30s %+v\n", v.Step, v.Counts)
+	}
+	return b.String()
+}
+
+func flags(v placement.View) string {
+	text := ""
+	if v.Ejected {
+		text += " ejected"
+	}
+	if v.Leaving {
+		text += " leaving"
+	}
+	return text
+}
--- a/rollout/trainer/client.go
+++ b/rollout/trainer/client.go
@@ -21,8 +21,9 @@
 
 // Config configures a trainer's client.
 type Config struct {
-	// Entries are addresses of entry VMs or of the balancer before them.
-	Entries []string
+	// Entries returns the addresses of the entry VMs, or of the balancer before
+	// them, that may be asked now.
+	Entries func() []string
 	Token   string
 	Trainer rollout.TrainerName
 	Behind  uint64
@@ -45,8 +46,8 @@
 	turn   int
 }
 
-// New returns a client.
-func New(c Config) *Client {
+// NewClient returns a client.
+func NewClient(c Config) *Client {
 	return &Client{config: c, http: exchange.New(exchange.Config{Connect: 2 * time.Second, IdlePerServer: 1})}
 }
 
@@ -183,8 +184,12 @@
 	if err != nil {
 		return rollout.Fail(rollout.NotRun, rollout.ReasonBadRequest, err)
 	}
+	entries := c.config.Entries()
+	if len(entries) == 0 {
+		return rollout.Refuse(rollout.ReasonPeerUnreachable, "no entry VM is known to be ready")
+	}
 	c.turn++
-	at := "http://" + c.config.Entries[c.turn%len(c.config.Entries)] + path
+	at := "http://" + entries[c.turn%len(entries)] + path
 	r, err := http.NewRequestWithContext(ctx, method, at, exchange.Once(bytes.NewReader(data)))
 	if err != nil {
 		return rollout.Fail(rollout.NotRun, rollout.ReasonBadRequest, err)
