configuration: notice records that the log dropped between two reads

Change: missing records empty what waits; a lower version is never adopted. Conclusion: the fold is a function of the records again.

--- a/rollout/configuration/fold.go
+++ b/rollout/configuration/fold.go
@@ -187,7 +187,7 @@
 // Adopt takes a state from a peer when it is ahead of this one, and reports
 // whether it did.
 func (f *Fold) Adopt(s State) bool {
-	if f.anchored && (s.Next <= f.state.Next || s.Version < f.state.Version) {
+	if s.Version < f.state.Version || (f.anchored && s.Next <= f.state.Next) {
 		return false
 	}
 	f.state, f.anchored, f.waiting = s, true, nil
@@ -206,6 +206,10 @@
 		// snapshot, keeping the old state in force until there is one.
 		f.lose()
 	}
+	if !f.anchored && r.First > f.Next() {
+		// Records are missing between those that wait and the rest.
+		f.waiting = nil
+	}
 	if len(f.waiting) == 0 && !f.anchored {
 		f.first = r.First
 	}
--- a/rollout/configuration/fold_test.go
+++ b/rollout/configuration/fold_test.go
@@ -197,6 +197,35 @@
 		_, ok := f.State()
 		assert.Equal(t, "for one whose log lacks the newer change: a state", ok, false)
 	})
+	t.Run("a joiner starts anew when the log drops records that it has not read", func(t *testing.T) {
+		j := &journal{}
+		j.publish("one", 0, document("one"))
+		j.publish("two", 1, document("two"))
+		f := configuration.NewFold(configuration.Checks{})
+		whole := folded(t, j)
+		j.drop(1)
+		j.read(f, 1)
+		j.publish("three", 2, document("three"))
+		j.drop(2)
+		snapshot := whole
+		j.append(configuration.Record{Snapshot: &snapshot})
+		j.read(f, 10)
+		_, ok := f.State()
+		assert.Equal(t, "a state from a snapshot that lacks a dropped record", ok, false)
+	})
+	t.Run("a peer that is behind is not adopted after records were lost", func(t *testing.T) {
+		j := &journal{}
+		j.publish("one", 0, document("one"))
+		behind := folded(t, j)
+		j.publish("two", 1, document("two"))
+		f := configuration.NewFold(configuration.Checks{})
+		j.read(f, 10)
+		j.publish("three", 2, document("three"))
+		j.publish("four", 2, document("four"))
+		j.drop(4)
+		j.read(f, 10)
+		assert.Equal(t, "adopted", f.Adopt(behind), false)
+	})
 	t.Run("a forged one is passed over", func(t *testing.T) {
 		j := &journal{}
 		j.publish("one", 0, document("one"))
