--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,42 @@
 MODULES := rollout lagoonlink lagoonctl declare lagoonbench deployments
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 BIN := bin
 
-.PHONY: build demo test docs lint
+.PHONY: build tools demo test lint docs specs known-red fuzz
 
+# build makes the programs.
 build:
 	go build -o $(BIN)/ ./lagoonlink ./lagoonctl ./lagoonbench ./deployments/tsehay ./deployments/arjcb
 
+# tools builds the formatter and the linter at the versions of tools/go.mod.
+tools:
+	cd tools && GOWORK=off go build -o ../$(BIN)/gofumpt mvdan.cc/gofumpt
+	cd tools && GOWORK=off go build -o ../$(BIN)/revive github.com/mgechev/revive
+
+# demo runs the whole path once and fails when a promise was broken.
 demo: build
 	$(BIN)/lagoonbench demo
+
+# docs writes the generated pages again.
+docs: build
+	$(BIN)/lagoonlink document events > docs/EVENTS.md
+	$(BIN)/lagoonlink document settings > docs/SETTINGS.md
+
+lint: tools
+	go vet $(PACKAGES)
+	test -z "$$($(BIN)/gofumpt -l $(MODULES))" || { $(BIN)/gofumpt -l $(MODULES); exit 1; }
+	$(BIN)/revive -set_exit_status $(PACKAGES)
+
+# specs checks the protocol models; it needs spin and a C compiler.
+specs:
+	specs/check
+
+# test does all set-up and runs every check.
+test: build lint specs
+	go test -race -count=1 $(PACKAGES)
+
+# fuzz looks further than the corpus that ordinary tests run.
+fuzz:
+	cd rollout && for t in configuration:FuzzDecode configuration:FuzzDecodeRecord wire:FuzzProbe wire:FuzzFrame engine:FuzzEvents; do \
+		go test ./$${t%%:*} -run '^$$' -fuzz "^$${t##*:}\$$" -fuzztime 20s || exit 1; done
+	cd lagoonlink && go test ./internal/settings -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 20s
--- a/lagoonlink/internal/settings/load.go
+++ b/lagoonlink/internal/settings/load.go
@@ -85,7 +85,26 @@
 		at := located.GetToken().Position
 		return fmt.Errorf("line %d, column %d: %s", at.Line, at.Column, located.GetMessage())
 	}
-	return err
+	if err != nil {
+		return fmt.Errorf("%w%s", err, hint(data, err))
+	}
+	return nil
+}
+
+// hint finds the line of a value that an error quotes, where the decoder does
+// not tell it.
+func hint(data []byte, err error) string {
+	_, quoted, found := strings.Cut(err.Error(), `"`)
+	value, _, closed := strings.Cut(quoted, `"`)
+	if !found || !closed {
+		return ""
+	}
+	for i, line := range strings.Split(string(data), "\n") {
+		if strings.Contains(line, value) {
+			return fmt.Sprintf(" (line %d: %s)", i+1, strings.TrimSpace(line))
+		}
+	}
+	return ""
 }
 
 func overrideFromEnvironment(s *Settings, environment []string) error {
--- /dev/null
+++ b/rollout/engine/engine_test.go
@@ -0,0 +1,175 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/engine"
+	"lagoonlink.org/rollout/exchange"
+)
+
+func event(id, text string, tokens int, finish string) string {
+	f := "null"
+	if finish != "" {
+		f = `"` + finish + `"`
+	}
+	return fmt.Sprintf(`data: {"id":%q,"choices":[{"index":0,"text":%q,"finish_reason":%s}],"tokens":%d,"weight_version":3}`+"\n\n", id, text, f, tokens)
+}
+
+// answering returns the address of a server that sends fixed text.
+func answering(t *testing.T, status int, header map[string]string, body string) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		for k, v := range header {
+			w.Header().Set(k, v)
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// raw returns the address of a server that does something to a connection.
+func raw(t *testing.T, do func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, "listen", err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			do(c)
+			c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(c net.Conn) { _, _ = c.Read(make([]byte, 4096)) }
+
+func adapter() *engine.Adapter {
+	return engine.New(exchange.New(exchange.Config{Connect: time.Second, IdlePerServer: 4, AnswerStart: 300 * time.Millisecond}))
+}
+
+// generate returns the text of an answer, or the error that ended it.
+func generate(ctx context.Context, address string) (string, error) {
+	r, err := adapter().Generate(ctx, address, rollout.Generation{ID: "one", Model: "m", Prompt: "p", MaxTokens: 9})
+	if err != nil {
+		return "", err
+	}
+	defer r.Close()
+	text := ""
+	for {
+		p, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			return text, nil
+		}
+		if err != nil {
+			return text, err
+		}
+		text += p.Text
+	}
+}
+
+func TestWholeAnswer(t *testing.T) {
+	text, err := generate(t.Context(), answering(t, 200, nil, event("one", "a", 1, "")+event("one", "b", 1, "stop")+"data: [DONE]\n\n"))
+	assert.NoError(t, "generate", err)
+	assert.Equal(t, "text", text, "ab")
+}
+
+// TestFaults is the table of an engine's faults and their verdicts.
+func TestFaults(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, "listen", err)
+	closed.Close()
+	refusal := map[string]string{exchange.HeaderVerdict: "NotRun"}
+	leaving := map[string]string{exchange.HeaderVerdict: "NotRun", exchange.HeaderLeaving: "true"}
+	start := "HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n" + event("one", "a", 1, "")
+	for _, c := range []struct {
+		name    string
+		address string
+		verdict rollout.Verdict
+		reason  rollout.Reason
+	}{
+		{"connection refused", closed.Addr().String(), rollout.NotRun, rollout.ReasonServerFailed},
+		{"reset at once", raw(t, func(net.Conn) {}), rollout.MayHaveRun, rollout.ReasonServerFailed},
+		{"reset during the request", raw(t, func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) }), rollout.MayHaveRun, rollout.ReasonServerFailed},
+		{"reset after the request", raw(t, readRequest), rollout.MayHaveRun, rollout.ReasonServerFailed},
+		{"silent", raw(t, func(c net.Conn) { readRequest(c); time.Sleep(400 * time.Millisecond) }), rollout.MayHaveRun, rollout.ReasonServerFailed},
+		{"garbage for an answer", raw(t, func(c net.Conn) { readRequest(c); fmt.Fprint(c, "\x00\x01") }), rollout.MayHaveRun, rollout.ReasonServerFailed},
+		{"a shorter body than announced", raw(t, func(c net.Conn) { readRequest(c); fmt.Fprint(c, start) }), rollout.MayHaveRun, rollout.ReasonTruncated},
+		{"refused as not run", answering(t, 503, refusal, ""), rollout.NotRun, rollout.ReasonServerRefused},
+		{"refused because it leaves", answering(t, 503, leaving, ""), rollout.NotRun, rollout.ReasonDraining},
+		{"an error without a verdict", answering(t, 503, nil, ""), rollout.MayHaveRun, rollout.ReasonServerFailed},
+		{"an end without the mark", answering(t, 200, nil, event("one", "a", 1, "stop")), rollout.MayHaveRun, rollout.ReasonTruncated},
+		{"the mark before the last piece", answering(t, 200, nil, event("one", "a", 1, "")+"data: [DONE]\n\n"), rollout.MayHaveRun, rollout.ReasonTruncated},
+		{"garbage for an event", answering(t, 200, nil, "data: {{{\n\n"), rollout.MayHaveRun, rollout.ReasonServerFailed},
+		{"an event of another request", answering(t, 200, nil, event("two", "a", 1, "")), rollout.MayHaveRun, rollout.ReasonServerFailed},
+		{"an event after the last piece", answering(t, 200, nil, event("one", "a", 1, "stop")+event("one", "b", 1, "")), rollout.MayHaveRun, rollout.ReasonServerFailed},
+		{"a line without an end", answering(t, 200, nil, "data: "+strings.Repeat("x", 2<<20)), rollout.MayHaveRun, rollout.ReasonTruncated},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := generate(t.Context(), c.address)
+			f := rollout.FailureOf(err)
+			assert.Equal(t, "verdict", f.Verdict, c.verdict)
+			assert.Equal(t, "reason", f.Reason, c.reason)
+		})
+	}
+	t.Run("canceled", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := generate(ctx, raw(t, func(c net.Conn) { readRequest(c); time.Sleep(200 * time.Millisecond) }))
+		assert.Equal(t, "reason", rollout.FailureOf(err).Reason, rollout.ReasonDeadline)
+	})
+}
+
+// TestHalfReadAnswerIsNotReused gives up on a half-read answer, and expects the
+// next request on a connection of its own.
+func TestHalfReadAnswerIsNotReused(t *testing.T) {
+	first := make(chan string, 4)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		first <- r.RemoteAddr
+		_, _ = io.WriteString(w, event("one", "a", 1, ""))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	a := adapter()
+	for range 2 {
+		r, err := a.Generate(t.Context(), strings.TrimPrefix(s.URL, "http://"), rollout.Generation{ID: "one"})
+		assert.NoError(t, "generate", err)
+		_, err = r.Next()
+		assert.NoError(t, "read a piece", err)
+		assert.NoError(t, "close", r.Close())
+	}
+	assert.True(t, "another connection", <-first != <-first)
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add(event("one", "a", 1, "stop") + "data: [DONE]\n\n")
+	f.Add("data: {\"choices\":[[[[[[\n\n")
+	f.Add("data: \n\n: comment\nevent: x\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+		defer s.Close()
+		text, err := generate(t.Context(), strings.TrimPrefix(s.URL, "http://"))
+		if err == nil && !strings.Contains(body, "[DONE]") {
+			t.Errorf("got %q without an end mark, want an error", text)
+		}
+	})
+}
