entry: take hertz's standard transport

Cause: at half load on one processor an entry VM added 3.96 ms at p50. The default transport waits in a system call that keeps the only processor until the runtime's monitor takes it back; a profile showed no hot code. Change: hertz's standard transport, which uses the runtime's poller; it does not sense callers that go away, a write to them does. The metrics reporter runs every 10 s. lagoonbench hop measures; the operations port serves profiles. Conclusion: kept for p50 and throughput; the tail stays open.

--- a/lagoonbench/internal/cmd/cmd.go
+++ b/lagoonbench/internal/cmd/cmd.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"lagoonlink.org/lagoonbench/internal/hop"
 	"lagoonlink.org/lagoonbench/internal/report"
 	"lagoonlink.org/lagoonbench/internal/scenario"
 )
@@ -46,6 +48,16 @@
 				Flags:  common,
 				Action: func(ctx context.Context, c *cli.Command) error { return run(ctx, out, c, "demo") },
 			},
+			{
+				Name:  "hop",
+				Usage: "measure what an entry VM adds to a request",
+				Flags: append([]cli.Flag{
+					&cli.DurationFlag{Name: "each", Usage: "length of each measurement", Value: 3 * time.Second},
+				}, common...),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return hop.Measure(ctx, out, hop.Config{Programs: c.String("programs"), Seed: c.Uint64("seed"), Each: c.Duration("each")})
+				},
+			},
 			{
 				Name:  "run",
 				Usage: "run a scenario",
--- a/lagoonbench/internal/environment/environment.go
+++ b/lagoonbench/internal/environment/environment.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,8 @@
 	Engine engine.Config
 	// Work is how long a call of a plain service takes.
 	Work time.Duration
+	// Processors bounds the processors that each entry VM uses; 0 leaves it open.
+	Processors int
 	// KeepRecords bounds what each stream of the log keeps; 0 keeps all.
 	KeepRecords int
 	// ListLag is the age of what the list of VMs shows.
@@ -300,6 +303,9 @@
 	defer log.Close()
 	command := exec.Command(filepath.Join(e.Config.Programs, "lagoonlink"), arguments...)
 	command.Stdout, command.Stderr = log, log
+	if e.Config.Processors > 0 {
+		command.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", e.Config.Processors))
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
@@ -363,6 +369,28 @@
 // tailBytes is how much of a log is shown.
 const tailBytes = 2000
 
+// clockTicks is how many ticks the kernel counts a second of processor time in.
+const clockTicks = 100
+
+// Processor returns the processor time that an entry VM has used.
+func (e *Environment) Processor(v *VM) (time.Duration, error) {
+	v.mu.Lock()
+	pid := v.command.Process.Pid
+	v.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0, fmt.Errorf("process %d: its statistics can't be read", pid)
+	}
+	user, err1 := strconv.Atoi(fields[11])
+	system, err2 := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * time.Second / clockTicks, errors.Join(err1, err2)
+}
+
 // LogTail returns the end of an entry VM's log.
 func (e *Environment) LogTail(v *VM) string {
 	data, err := os.ReadFile(filepath.Join(e.folder, v.Name+".log"))
--- a/lagoonbench/internal/standin/engine/engine.go
+++ b/lagoonbench/internal/standin/engine/engine.go
@@ -54,6 +54,8 @@
 	Tail       float64
 	// Initial are the versions loaded at a start.
 	Initial map[rollout.ModelName]rollout.WeightVersion
+	// Instant answers whole at once, for measurements of the way there.
+	Instant bool
 	// Restart is how long a crashed engine stays away.
 	Restart time.Duration
 }
@@ -340,6 +342,11 @@
 	s = &stream{request: request, pieces: make(chan piece, 256)}
 	e.begin(s)
 	s.ready = now.Add(e.prefill(now, s.origin.Prompt, len(request.Prompt)))
+	if e.config.Instant {
+		s.credit = float64(s.origin.Length)
+		e.emit(s)
+		return s, false
+	}
 	e.streams[s] = true
 	return s, false
 }
--- a/lagoonlink/internal/entry/entry.go
+++ b/lagoonlink/internal/entry/entry.go
@@ -22,6 +22,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/uber-go/tally/v4"
 
 	"lagoonlink.org/lagoonlink/internal/dispatch"
@@ -92,7 +93,7 @@
 	h := server.New(
 		server.WithHostPorts(c.Address),
 		server.WithMaxRequestBodySize(c.BodyBytes),
-		server.WithSenseClientDisconnection(true),
+		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
 		server.WithWriteTimeout(writeTimeout),
 		server.WithExitWaitTime(time.Second),
--- a/lagoonlink/internal/status/status.go
+++ b/lagoonlink/internal/status/status.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -60,6 +61,10 @@
 	h.GET("/ready", s.readiness)
 	h.GET("/metrics", adaptor.HertzHandler(c.Metrics))
 	h.GET("/status", s.status)
+	h.GET("/debug/pprof/profile", adaptor.HertzHandler(http.HandlerFunc(pprof.Profile)))
+	h.GET("/debug/pprof/:name", func(ctx context.Context, c *app.RequestContext) {
+		adaptor.HertzHandler(pprof.Handler(c.Param("name")))(ctx, c)
+	})
 	h.PUT("/log-level", s.logLevel)
 	s.server = h
 	return s
--- a/lagoonlink/internal/vm/vm.go
+++ b/lagoonlink/internal/vm/vm.go
@@ -50,7 +50,7 @@
 	connectTimeout = 500 * time.Millisecond
 	idlePerServer  = 64
 	idlePlatform   = 4
-	metricsEvery   = time.Second
+	metricsEvery   = 10 * time.Second
 )
 
 // VM is one entry VM.
