membership: rank all living VMs for a zone without any

Cause: scenario sigterm never ended. After the only VM of a trainer's zone had left, every VM ranked its own zone for the trainer's steps; the trainer opened the step through one VM and drew it through another, 34,000 times in 12 s (seen on the connection's counters). Ruled out: lost packets, a hung engine, hertz's keep-alive. Change: the fallback ranks all living VMs; the trainer's client stays with an entry VM while it answers and pauses after a reopened step; silent engine streams and holders are bounded in time. Conclusion: a holder must follow from what all VMs can agree on.

--- a/lagoonbench/internal/report/report.go
+++ b/lagoonbench/internal/report/report.go
@@ -62,7 +62,9 @@
 	// Refused counts explicit refusals by "class/reason/verdict".
 	Refused map[string]int
 	// Answered counts whole answers by class.
-	Answered        map[string]int
+	Answered map[string]int
+	// TokensGenerated are those of samples; the share that reached no trainer is
+	// wasted.
 	TokensGenerated int
 	TokensDelivered int
 	WastedShare     float64
@@ -208,7 +210,7 @@
 	for _, k := range sortedKeys(r.Refused) {
 		fmt.Fprintf(t, "refused %s\t%d\n", k, r.Refused[k])
 	}
-	fmt.Fprintf(t, "tokens generated\t%d\twasted %.1f %%\n", r.TokensGenerated, r.WastedShare*100)
+	fmt.Fprintf(t, "tokens of samples\t%d\twasted %.1f %%\n", r.TokensGenerated, r.WastedShare*100)
 	fmt.Fprintf(t, "engine crashes\t%d\n", r.EngineCrashes)
 	fmt.Fprintf(t, "promises broken\t%d\n", r.Broken())
 	return t.Flush()
--- a/lagoonbench/internal/scenario/catalogue.go
+++ b/lagoonbench/internal/scenario/catalogue.go
@@ -9,7 +9,7 @@
 
 // All returns the scenarios in the order of the list.
 func All() []Scenario {
-	return []Scenario{demo()}
+	return append([]Scenario{demo()}, faultScenarios()...)
 }
 
 // Find returns the scenario with a name.
--- a/lagoonbench/internal/scenario/scenario.go
+++ b/lagoonbench/internal/scenario/scenario.go
@@ -220,7 +220,7 @@
 func (r *Run) countEngines(p *report.Report) {
 	for _, e := range r.Environment.Engines {
 		n := e.Counts()
-		p.TokensGenerated += n.Tokens
+		p.TokensGenerated += n.SampleTokens
 		p.EngineCrashes += n.Crashes
 	}
 	p.LogAppends = r.Environment.Journal.Appends()
--- a/lagoonbench/internal/standin/engine/engine.go
+++ b/lagoonbench/internal/standin/engine/engine.go
@@ -81,6 +81,9 @@
 // Counts is what an engine saw.
 type Counts struct {
 	Streams, Tokens, Crashes, Swaps, FailedSwaps, FencedOrders int
+	// SampleTokens were generated for trainers' samples, whose request IDs have
+	// the path of a step.
+	SampleTokens int
 	// CachedStreams found their prompt in the prefix cache.
 	CachedStreams int
 }
@@ -182,6 +185,13 @@
 	return e.counts
 }
 
+// Running returns how many streams are in the batch.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.streams)
+}
+
 // Loaded returns the versions loaded.
 func (e *Engine) Loaded() map[rollout.ModelName]rollout.WeightVersion {
 	e.mu.Lock()
@@ -501,6 +511,9 @@
 	}
 	s.position += n
 	e.counts.Tokens += n
+	if contains(s.request.RequestID, "/") {
+		e.counts.SampleTokens += n
+	}
 	e.tokens += n
 	p := piece{last: s.position == s.origin.Length, event: adapter.CompletionEvent{
 		ID:            s.request.RequestID,
--- a/lagoonlink/internal/entry/entry.go
+++ b/lagoonlink/internal/entry/entry.go
@@ -94,6 +94,7 @@
 		server.WithHostPorts(c.Address),
 		server.WithMaxRequestBodySize(c.BodyBytes),
 		server.WithTransport(standard.NewTransporter),
+		server.WithSenseClientDisconnection(true),
 		server.WithDisablePrintRoute(true),
 		server.WithWriteTimeout(writeTimeout),
 		server.WithExitWaitTime(time.Second),
--- a/lagoonlink/internal/entry/trainers.go
+++ b/lagoonlink/internal/entry/trainers.go
@@ -114,9 +114,18 @@
 // maxHolders is how many VMs are asked in turn to take a step.
 const maxHolders = 3
 
+// holderTimeout is how long a holder's answer may take beyond a pull's wait.
+const holderTimeout = 3 * time.Second
+
 // onHolder passes a step's request to the VM that holds the pool's steps in the
 // trainer's zone, or to the next one when that VM certainly did not get it.
 func (e *Entry) onHolder(ctx context.Context, t rollout.Trainer, b wire.Body) (wire.Body, error) {
+	timeout := holderTimeout
+	if b.Pull != nil {
+		timeout += b.Pull.Wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	ranked := e.config.Peers.Roster().Rank(StepsKey(t.Pool), t.Zone)
 	var last error = rollout.Refuse(rollout.ReasonPeerUnreachable, "no entry VM can hold the step").WithRetryAfter(time.Second)
 	for _, m := range ranked[:min(maxHolders, len(ranked))] {
--- a/lagoonlink/internal/settings/settings.go
+++ b/lagoonlink/internal/settings/settings.go
@@ -78,6 +78,7 @@
 	Notice        time.Duration `yaml:"Notice" doc:"Time between failing readiness and refusing new requests at a shutdown."`
 	Drain         time.Duration `yaml:"Drain" doc:"Longest wait for requests in progress at a shutdown."`
 	Request       time.Duration `yaml:"Request" doc:"Longest time of a caller's request."`
+	Silence       time.Duration `yaml:"Silence" doc:"Longest time between two events of an engine's answer before it is broken off and continued elsewhere."`
 	ListEvery     time.Duration `yaml:"ListEvery" doc:"Time between two readings of the platform's list of VMs."`
 	WeightsEvery  time.Duration `yaml:"WeightsEvery" doc:"Time between two readings of the weight store's latest versions."`
 	SnapshotEvery time.Duration `yaml:"SnapshotEvery" doc:"Age of the newest snapshot at which another is appended; well below the log's retention."`
@@ -107,6 +108,7 @@
 			Notice:        5 * time.Second,
 			Drain:         10 * time.Minute,
 			Request:       10 * time.Minute,
+			Silence:       5 * time.Second,
 			ListEvery:     2 * time.Second,
 			WeightsEvery:  500 * time.Millisecond,
 			SnapshotEvery: 10 * time.Minute,
@@ -167,6 +169,7 @@
 		checkDuration("Timing.Notice", s.Timing.Notice, 0, time.Hour),
 		checkDuration("Timing.Drain", s.Timing.Drain, time.Second, 24*time.Hour),
 		checkDuration("Timing.Request", s.Timing.Request, time.Second, 24*time.Hour),
+		checkDuration("Timing.Silence", s.Timing.Silence, 100*time.Millisecond, time.Hour),
 		checkDuration("Timing.ListEvery", s.Timing.ListEvery, 50*time.Millisecond, time.Hour),
 		checkDuration("Timing.WeightsEvery", s.Timing.WeightsEvery, 50*time.Millisecond, time.Hour),
 		checkDuration("Timing.SnapshotEvery", s.Timing.SnapshotEvery, time.Second, 24*time.Hour),
--- a/lagoonlink/internal/vm/vm.go
+++ b/lagoonlink/internal/vm/vm.go
@@ -81,7 +81,7 @@
 	outgoing := exchange.New(exchange.Config{Connect: connectTimeout, IdlePerServer: idlePerServer})
 	v.platform = platform.New(exchange.New(exchange.Config{Connect: connectTimeout, IdlePerServer: idlePlatform}),
 		platform.Addresses{Log: s.Platform.Log, Weights: s.Platform.Weights, VMs: s.Platform.VMs})
-	engines := engine.New(outgoing)
+	engines := engine.New(outgoing, s.Timing.Silence)
 	v.dispatch = dispatch.New(v.dispatchConfig())
 	v.holder = holder.New(holder.Config{
 		VM: rollout.VMName(s.VM.Name), Ring: s.Limits.Ring, StepIdle: s.Timing.StepIdle, NoTwins: s.Bench.NoTwins,
--- a/rollout/engine/engine.go
+++ b/rollout/engine/engine.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/exchange"
@@ -67,10 +68,15 @@
 // Adapter calls engines.
 type Adapter struct {
 	client *exchange.Client
+	// silence is the longest time between two events of an answer.
+	silence time.Duration
 }
 
-// New returns an adapter over a client.
-func New(c *exchange.Client) *Adapter { return &Adapter{client: c} }
+// New returns an adapter over a client. An answer without an event for the time
+// of silence is broken off.
+func New(c *exchange.Client, silence time.Duration) *Adapter {
+	return &Adapter{client: c, silence: silence}
+}
 
 var _ rollout.Engine = (*Adapter)(nil)
 
@@ -92,12 +98,14 @@
 		return nil, rollout.Fail(rollout.NotRun, rollout.ReasonBadRequest, err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	watch := time.AfterFunc(a.silence, cancel)
 	answer, err := a.post(ctx, address, PathCompletions, body)
 	if err != nil {
+		watch.Stop()
 		cancel()
 		return nil, rollout.Tried(err, "generate on %s", address)
 	}
-	return &reader{id: g.ID, body: answer.Body, lines: bufio.NewReader(answer.Body), cancel: cancel}, nil
+	return &reader{id: g.ID, body: answer.Body, lines: bufio.NewReader(answer.Body), cancel: cancel, watch: watch, silence: a.silence}, nil
 }
 
 func (a *Adapter) post(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
@@ -128,12 +136,16 @@
 	lines    *bufio.Reader
 	cancel   context.CancelFunc
 	finished bool
+	// watch ends the stream when no event came for the time of silence.
+	watch   *time.Timer
+	silence time.Duration
 }
 
 // Next returns the next piece, or io.EOF after the engine's end mark.
 func (r *reader) Next() (rollout.Piece, error) {
 	for {
 		data, err := r.event()
+		r.watch.Reset(r.silence)
 		if err != nil {
 			return rollout.Piece{}, rollout.Fail(rollout.MayHaveRun, rollout.ReasonTruncated, err)
 		}
@@ -207,6 +219,7 @@
 // Close ends the stream. The connection is closed unless the answer was read
 // to its end.
 func (r *reader) Close() error {
+	r.watch.Stop()
 	r.cancel()
 	return r.body.Close()
 }
--- a/rollout/membership/members.go
+++ b/rollout/membership/members.go
@@ -627,12 +627,12 @@
 }
 
 // Rank orders the VMs of a zone by rendezvous hash for a key: the first is the
-// key's holder, the next takes over. Without VMs in the zone, all VMs of the
-// own zone are ranked.
+// key's holder, the next takes over. Without VMs in the zone, all living VMs are
+// ranked, so that those that see each other agree.
 func (r Roster) Rank(key string, zone rollout.Zone) []Member {
 	in := r.inZone(zone)
 	if len(in) == 0 {
-		in = r.inZone(r.Self.Zone)
+		in = slices.Clone(r.Members)
 	}
 	slices.SortFunc(in, func(a, b Member) int {
 		x, y := weight(key, a.Name), weight(key, b.Name)
--- a/rollout/trainer/client.go
+++ b/rollout/trainer/client.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"lagoonlink.org/rollout"
@@ -36,6 +37,10 @@
 // maxAnswerBytes bounds an answer to a pull.
 const maxAnswerBytes = 64 << 20
 
+// answerTimeout is how long an answer may take beyond a pull's wait, so that a
+// connection that went silent holds up nobody.
+const answerTimeout = 5 * time.Second
+
 // retryPause is the wait before a refused pull is repeated.
 const retryPause = 50 * time.Millisecond
 
@@ -44,6 +49,8 @@
 	config Config
 	http   *exchange.Client
 	turn   int
+	// entry is the VM that answered last; empty when it failed.
+	entry string
 }
 
 // NewClient returns a client.
@@ -121,7 +128,6 @@
 			if err := s.reopen(ctx); err != nil {
 				return nil, false, err
 			}
-			continue
 		}
 		pause(ctx, retryPause)
 	}
@@ -178,18 +184,34 @@
 	}
 }
 
-// send makes one request to the next entry VM.
+// choose returns the entry VM of the last request, or the next one when that
+// failed or is not ready any more. Staying with one VM means that a step is
+// opened and drawn by the same view of who holds it.
+func (c *Client) choose() (string, error) {
+	entries := c.config.Entries()
+	if len(entries) == 0 {
+		return "", rollout.Refuse(rollout.ReasonPeerUnreachable, "no entry VM is known to be ready")
+	}
+	if !slices.Contains(entries, c.entry) {
+		c.turn++
+		c.entry = entries[c.turn%len(entries)]
+	}
+	return c.entry, nil
+}
+
+// send makes one request to an entry VM.
 func (c *Client) send(ctx context.Context, method, path string, body, into any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return rollout.Fail(rollout.NotRun, rollout.ReasonBadRequest, err)
 	}
-	entries := c.config.Entries()
-	if len(entries) == 0 {
-		return rollout.Refuse(rollout.ReasonPeerUnreachable, "no entry VM is known to be ready")
+	entry, err := c.choose()
+	if err != nil {
+		return err
 	}
-	c.turn++
-	at := "http://" + entries[c.turn%len(entries)] + path
+	ctx, cancel := context.WithTimeout(ctx, c.config.PullWait+answerTimeout)
+	defer cancel()
+	at := "http://" + entry + path
 	r, err := http.NewRequestWithContext(ctx, method, at, exchange.Once(bytes.NewReader(data)))
 	if err != nil {
 		return rollout.Fail(rollout.NotRun, rollout.ReasonBadRequest, err)
@@ -199,6 +221,7 @@
 	r.Header.Set("Content-Type", "application/json")
 	answer, err := c.http.Do(r)
 	if err != nil {
+		c.entry = ""
 		return err
 	}
 	defer answer.Body.Close()
@@ -207,6 +230,7 @@
 		return err
 	}
 	if answer.StatusCode != http.StatusOK {
+		c.entry = ""
 		return problem(answer.StatusCode, text)
 	}
 	if into == nil {
