--- a/lagoonbench/internal/environment/environment.go
+++ b/lagoonbench/internal/environment/environment.go
@@ -303,6 +303,8 @@
 	defer log.Close()
 	command := exec.Command(filepath.Join(e.Config.Programs, "lagoonlink"), arguments...)
 	command.Stdout, command.Stderr = log, log
+	// No entry VM outlives the rig, however that ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if e.Config.Processors > 0 {
 		command.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", e.Config.Processors))
 	}
--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -25,6 +25,10 @@
 	Policy  placement.Policy
 	InForce *inforce.Holder
 	Logger  *event.Logger
+	// Reachable reports whether a server still takes connections.
+	Reachable func(address string) bool
+	// Announce is called when suspicions changed, so that other VMs hear at once.
+	Announce func()
 }
 
 // Target names a pool or a service.
@@ -56,12 +60,17 @@
 // Result is how granted work ended.
 type Result struct {
 	placement.Outcome
-	// Crashed tells that the server broke the connection during the work.
-	Crashed bool
+	// Broken tells that the connection broke during the work.
+	Broken bool
 }
 
-// Done gives the grant back.
-func (g *Grant) Done(r Result) { g.owner.ring <- doneMessage{target: g.target, id: g.id, result: r} }
+// Done gives the grant back. After a broken connection it first looks whether
+// the server crashed, so that a crash is known before the work is tried again
+// or its caller hears of it.
+func (g *Grant) Done(r Result) {
+	crashed := r.Broken && !g.owner.config.Reachable(g.Server.Address)
+	g.owner.ring <- doneMessage{target: g.target, id: g.id, result: r, crashed: crashed}
+}
 
 // Saw tells a version that came with the server's tokens.
 func (g *Grant) Saw(m rollout.ModelName, v rollout.WeightVersion) {
@@ -88,6 +97,8 @@
 		target Target
 		id     uint64
 		result Result
+		// crashed tells that the server takes no connections any more.
+		crashed bool
 	}
 	sawMessage struct {
 		target  Target
@@ -257,10 +268,13 @@
 			k.pool.Listed(m.leaving)
 		}
 	case rumorMessage:
+		news := false
 		for _, r := range m.rumors {
-			d.suspects.Heard(now, r)
+			news = d.suspects.Heard(now, r) || news
+		}
+		if news {
+			d.publishRumors(now)
 		}
-		d.publishRumors(now)
 	case viewMessage:
 		m.reply <- d.views(now)
 	}
@@ -399,7 +413,7 @@
 		return
 	}
 	f := k.flights[m.id]
-	if m.result.Crashed && !f.blamed {
+	if m.crashed && !f.blamed {
 		d.crashed(now, k, f.server)
 	}
 	delete(k.flights, m.id)
@@ -433,6 +447,7 @@
 func (d *Dispatcher) publishRumors(now time.Time) {
 	rumors := d.suspects.Rumors(now, maxRumors)
 	d.rumors.Store(&rumors)
+	d.config.Announce()
 }
 
 // DeskView is what a status page shows of a target.
--- a/lagoonlink/internal/entry/services.go
+++ b/lagoonlink/internal/entry/services.go
@@ -121,7 +121,7 @@
 		var err error
 		answer, err = e.config.Service.Call(ctx, grant.Server.Address, call)
 		r.Outcome = callOutcome(ctx, err, time.Since(sent))
-		r.Crashed = r.Failed && rollout.VerdictOf(err) == rollout.MayHaveRun
+		r.Broken = r.Failed && rollout.VerdictOf(err) == rollout.MayHaveRun
 		return r, err
 	})
 	e.observe(ask, "request_seconds", time.Since(begun))
--- a/lagoonlink/internal/holder/holder.go
+++ b/lagoonlink/internal/holder/holder.go
@@ -412,7 +412,7 @@
 		r.Refused = true
 	default:
 		r.Failed = true
-		r.Crashed = f.Verdict == rollout.MayHaveRun
+		r.Broken = f.Verdict == rollout.MayHaveRun
 	}
 	return r
 }
--- a/lagoonlink/internal/peer/node.go
+++ b/lagoonlink/internal/peer/node.go
@@ -60,6 +60,7 @@
 	roster  atomic.Pointer[membership.Roster]
 	members atomic.Pointer[[]membership.Member]
 	leave   chan chan struct{}
+	hurry   chan struct{}
 	links   *links
 	Traffic Traffic
 }
@@ -80,6 +81,7 @@
 		ring:   make(chan datagram, c.Ring),
 		seeds:  make(chan []string, 1),
 		leave:  make(chan chan struct{}),
+		hurry:  make(chan struct{}, 1),
 	}
 	n.links = newLinks(n)
 	n.publish(membership.New(n.viewConfig(0)))
@@ -108,6 +110,14 @@
 	}
 }
 
+// Announce makes some VMs hear at once what this VM tells. It never blocks.
+func (n *Node) Announce() {
+	select {
+	case n.hurry <- struct{}{}:
+	default:
+	}
+}
+
 // Roster returns the living VMs.
 func (n *Node) Roster() membership.Roster { return *n.roster.Load() }
 
@@ -169,6 +179,8 @@
 		case d := <-n.ring:
 			n.config.Heard(d.probe.Rumors)
 			n.act(v, v.Received(time.Now(), d.from, d.probe.Message))
+		case <-n.hurry:
+			n.act(v, v.Announce(time.Now()))
 		case a := <-n.seeds:
 			v.Seed(a)
 		case done := <-n.leave:
--- a/lagoonlink/internal/vm/vm.go
+++ b/lagoonlink/internal/vm/vm.go
@@ -147,12 +147,14 @@
 func (v *VM) dispatchConfig() dispatch.Config {
 	s := v.settings
 	return dispatch.Config{
-		Zone:    rollout.Zone(s.VM.Zone),
-		Ring:    s.Limits.Ring,
-		Limits:  fair.Limits{Items: s.Limits.QueuedPerClass, TenantItems: s.Limits.QueuedPerTenant},
-		Policy:  placements[s.Bench.Placement],
-		InForce: v.inForce,
-		Logger:  v.logger,
+		Zone:      rollout.Zone(s.VM.Zone),
+		Ring:      s.Limits.Ring,
+		Limits:    fair.Limits{Items: s.Limits.QueuedPerClass, TenantItems: s.Limits.QueuedPerTenant},
+		Policy:    placements[s.Bench.Placement],
+		InForce:   v.inForce,
+		Logger:    v.logger,
+		Reachable: exchange.Reachable,
+		Announce:  func() { v.node.Announce() },
 	}
 }
 
--- a/rollout/exchange/exchange.go
+++ b/rollout/exchange/exchange.go
@@ -174,3 +174,24 @@
 
 // Once returns a body that the client cannot send twice.
 func Once(r io.Reader) io.ReadCloser { return onceBody{r} }
+
+// Waits between the tries of Reachable.
+var reachableWaits = []time.Duration{0, 40 * time.Millisecond, 110 * time.Millisecond}
+
+// reachableTimeout bounds one try of Reachable.
+const reachableTimeout = 300 * time.Millisecond
+
+// Reachable reports whether a server goes on taking connections, looking a few
+// times over a moment. It tells a crash from a single broken answer.
+func Reachable(address string) bool {
+	for _, wait := range reachableWaits {
+		time.Sleep(wait)
+		conn, err := net.DialTimeout("tcp", address, reachableTimeout)
+		if err != nil {
+			return false
+		}
+		// Nothing was sent on the connection that closing could lose.
+		_ = conn.Close()
+	}
+	return true
+}
--- a/rollout/membership/members.go
+++ b/rollout/membership/members.go
@@ -259,6 +259,9 @@
 	return v.announce(now)
 }
 
+// Announce tells some VMs at once what this VM tells on its messages.
+func (v *View) Announce(now time.Time) []Action { return v.announce(now) }
+
 // announce tells some VMs the latest news at once.
 func (v *View) announce(now time.Time) []Action {
 	var alive []*Member
--- a/rollout/request/suspects.go
+++ b/rollout/request/suspects.go
@@ -112,14 +112,14 @@
 	return all[:min(limit, len(all))]
 }
 
-// Heard takes a suspicion from another VM.
-func (s *Suspects) Heard(now time.Time, r Rumor) {
+// Heard takes a suspicion from another VM, and reports whether it was news.
+func (s *Suspects) Heard(now time.Time, r Rumor) bool {
 	k := s.known[r.Fingerprint]
 	if k.crashes >= r.Crashes && (k.standing == Convicted || !r.Convicted) {
-		return
+		return false
 	}
 	if len(s.known) >= maxSuspects && k.crashes == 0 {
-		return
+		return false
 	}
 	k.crashes = max(k.crashes, r.Crashes)
 	if r.Convicted {
@@ -128,6 +128,7 @@
 		k.standing, k.until = Suspected, now.Add(suspicionTime)
 	}
 	s.known[r.Fingerprint] = k
+	return true
 }
 
 func (s *Suspects) sweep(now time.Time) {
