--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -131,7 +131,9 @@
 type flight struct {
 	ask    Ask
 	server rollout.ServerName
-	blamed bool
+	// watched tells that it was sent as a suspect.
+	watched bool
+	blamed  bool
 }
 
 // desk is the queue and the servers of one target.
@@ -381,7 +383,8 @@
 		w := k.waiting[it.ID]
 		delete(k.waiting, it.ID)
 		k.pool.Sent(now, server.Name, w.ask.Want)
-		k.flights[it.ID] = &flight{ask: w.ask, server: server.Name}
+		watched := d.suspects.Standing(now, w.ask.Fingerprint) == request.Suspected
+		k.flights[it.ID] = &flight{ask: w.ask, server: server.Name, watched: watched}
 		w.reply <- reply{grant: &Grant{Server: server, owner: d, target: k.target, id: it.ID}}
 	}
 }
@@ -393,7 +396,7 @@
 		return false
 	}
 	for _, other := range k.flights {
-		if d.suspects.Standing(now, other.ask.Fingerprint) == request.Suspected {
+		if other.watched {
 			return true
 		}
 	}
@@ -428,14 +431,14 @@
 // crashed attributes a crash to everything in flight on the server. All of it
 // fails within moments; the first failure counts for all.
 func (d *Dispatcher) crashed(now time.Time, k *desk, server rollout.ServerName) {
-	var prints []request.Fingerprint
+	var flights []request.Flight
 	for _, f := range k.flights {
 		if f.server == server && !f.blamed {
 			f.blamed = true
-			prints = append(prints, f.ask.Fingerprint)
+			flights = append(flights, request.Flight{Fingerprint: f.ask.Fingerprint, Watched: f.watched})
 		}
 	}
-	if changed := d.suspects.Crashed(now, prints); len(changed) > 0 {
+	if changed := d.suspects.Crashed(now, flights); len(changed) > 0 {
 		d.config.Logger.Write(event.RequestSuspected, event.Fields{"Server": server, "Fingerprints": len(changed)})
 		d.publishRumors(now)
 	}
--- a/rollout/request/suspects.go
+++ b/rollout/request/suspects.go
@@ -24,8 +24,11 @@
 
 // Numbers of the suspicion of crashing requests.
 const (
-	suspicionTime  = time.Minute
-	convictionTime = 10 * time.Minute
+	suspicionTime = time.Minute
+	// A conviction lasts a minute, and twice as long with every further crash;
+	// then the request is suspected again, so that an innocent can clear itself.
+	convictionTime = time.Minute
+	maxDoublings   = 5
 	maxSuspects    = 1024
 )
 
@@ -50,33 +53,64 @@
 // Standing returns the standing of a fingerprint.
 func (s *Suspects) Standing(now time.Time, f Fingerprint) Standing {
 	k, ok := s.known[f]
-	if !ok || now.After(k.until) {
+	switch {
+	case !ok || k.gone(now):
 		return Clear
+	case now.After(k.until):
+		return Suspected
 	}
 	return k.standing
 }
 
+// gone reports whether a suspicion is over; after a conviction the request is
+// suspected for a while.
+func (k suspicion) gone(now time.Time) bool {
+	if k.standing == Convicted {
+		return now.After(k.until.Add(suspicionTime))
+	}
+	return now.After(k.until)
+}
+
+// Flight is a request that was in flight when its server crashed.
+type Flight struct {
+	Fingerprint Fingerprint
+	// Watched tells that it was sent as a suspect, apart from other suspects.
+	Watched bool
+}
+
 // Crashed tells that a server crashed while the given requests were in flight,
-// and returns those whose standing changed.
-func (s *Suspects) Crashed(now time.Time, inFlight []Fingerprint) []Fingerprint {
+// and returns those whose standing changed. Several flights of one fingerprint
+// count once. Only a watched flight convicts: the others may just have been
+// there.
+func (s *Suspects) Crashed(now time.Time, inFlight []Flight) []Fingerprint {
 	s.sweep(now)
-	var changed []Fingerprint
+	watched := map[Fingerprint]bool{}
+	var order []Fingerprint
 	for _, f := range inFlight {
-		k := s.known[f]
-		k.crashes++
-		alone := len(inFlight) == 1
-		switch {
-		case k.crashes >= 2 && (alone || k.standing == Suspected):
-			k.standing, k.until = Convicted, now.Add(convictionTime)
-		case k.standing == Clear:
-			k.standing, k.until = Suspected, now.Add(suspicionTime)
-		}
-		if _, known := s.known[f]; known || len(s.known) < maxSuspects {
-			s.known[f] = k
-			changed = append(changed, f)
+		if _, twice := watched[f.Fingerprint]; !twice {
+			order = append(order, f.Fingerprint)
 		}
+		watched[f.Fingerprint] = watched[f.Fingerprint] || f.Watched
+	}
+	for _, f := range order {
+		s.blame(now, f, watched[f])
+	}
+	return order
+}
+
+func (s *Suspects) blame(now time.Time, f Fingerprint, watched bool) {
+	k, known := s.known[f]
+	if !known && len(s.known) >= maxSuspects {
+		return
+	}
+	k.crashes++
+	if watched {
+		k.standing = Convicted
+		k.until = now.Add(convictionTime << min(max(k.crashes-2, 0), maxDoublings))
+	} else if k.standing != Convicted {
+		k.standing, k.until = Suspected, now.Add(suspicionTime)
 	}
-	return changed
+	s.known[f] = k
 }
 
 // Ended tells that a request ended well.
@@ -93,8 +127,8 @@
 func (s *Suspects) Rumors(now time.Time, limit int) []Rumor {
 	var all []Rumor
 	for f, k := range s.known {
-		if !now.After(k.until) {
-			all = append(all, Rumor{Fingerprint: f, Crashes: k.crashes, Convicted: k.standing == Convicted})
+		if !k.gone(now) {
+			all = append(all, Rumor{Fingerprint: f, Crashes: k.crashes, Convicted: k.standing == Convicted && !now.After(k.until)})
 		}
 	}
 	slices.SortFunc(all, func(a, b Rumor) int {
@@ -133,7 +167,7 @@
 
 func (s *Suspects) sweep(now time.Time) {
 	for f, k := range s.known {
-		if now.After(k.until) {
+		if k.gone(now) {
 			delete(s.known, f)
 		}
 	}
