lagoonbench: measure slopes from processes and decisions

Change: lagoonbench slopes starts 5 to 80 entry VMs, drives one with 10 to 80 requests a second, and times placement, documents and steps; control traffic is counted apart; load reports go from 12 to 4 a second, 100 while weights change.

--- a/lagoonbench/internal/cmd/cmd.go
+++ b/lagoonbench/internal/cmd/cmd.go
@@ -14,6 +14,7 @@
 	"lagoonlink.org/lagoonbench/internal/hop"
 	"lagoonlink.org/lagoonbench/internal/report"
 	"lagoonlink.org/lagoonbench/internal/scenario"
+	"lagoonlink.org/lagoonbench/internal/slopes"
 )
 
 // Exit codes.
@@ -58,6 +59,15 @@
 					return hop.Measure(ctx, out, hop.Config{Programs: c.String("programs"), Seed: c.Uint64("seed"), Each: c.Duration("each")})
 				},
 			},
+			{
+				Name:  "slopes",
+				Usage: "measure how costs grow with size, and work out the size to design for",
+				Flags: append([]cli.Flag{
+					&cli.DurationFlag{Name: "each", Usage: "length of each measurement", Value: 6 * time.Second},
+					&cli.StringFlag{Name: "page", Usage: "rewrite the table in the page `FILE`"},
+				}, common...),
+				Action: func(ctx context.Context, c *cli.Command) error { return measureSlopes(ctx, out, c) },
+			},
 			{
 				Name:  "run",
 				Usage: "run a scenario",
@@ -117,3 +127,20 @@
 	}
 	return nil
 }
+
+// settle is the wait before a measurement, for connections and views.
+const settle = 4 * time.Second
+
+func measureSlopes(ctx context.Context, out io.Writer, c *cli.Command) error {
+	config := slopes.Config{Programs: c.String("programs"), Seed: c.Uint64("seed"), Settle: settle, Each: c.Duration("each")}
+	all, err := slopes.Measure(ctx, config, out)
+	if err != nil {
+		return err
+	}
+	table := slopes.Table(all)
+	if page := c.String("page"); page != "" {
+		return slopes.Rewrite(page, table)
+	}
+	_, err = fmt.Fprint(out, table)
+	return err
+}
--- a/lagoonbench/internal/environment/environment.go
+++ b/lagoonbench/internal/environment/environment.go
@@ -393,6 +393,23 @@
 	return time.Duration(user+system) * time.Second / clockTicks, errors.Join(err1, err2)
 }
 
+// Memory returns the resident bytes of an entry VM's process.
+func (e *Environment) Memory(v *VM) (uint64, error) {
+	v.mu.Lock()
+	pid := v.command.Process.Pid
+	v.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0, fmt.Errorf("process %d: its memory can't be read", pid)
+	}
+	pages, err := strconv.ParseUint(fields[1], 10, 64)
+	return pages * uint64(os.Getpagesize()), err
+}
+
 // LogTail returns the end of an entry VM's log.
 func (e *Environment) LogTail(v *VM) string {
 	data, err := os.ReadFile(filepath.Join(e.folder, v.Name+".log"))
@@ -455,6 +472,7 @@
 	}
 	Traffic struct {
 		SentBytes, ReceivedBytes, SentMessages, ReceivedMessages uint64
+		ControlSentBytes, ControlReceivedBytes                   uint64
 	}
 	Process struct {
 		Goroutines             int
--- a/lagoonlink/internal/orders/orders.go
+++ b/lagoonlink/internal/orders/orders.go
@@ -42,6 +42,8 @@
 	readLimit     = 512
 	claimPause    = 500 * time.Millisecond
 	maxConcurrent = 64
+	// swapReportsASecond are asked while weights change.
+	swapReportsASecond = 100
 )
 
 type report struct {
@@ -350,13 +352,18 @@
 	}(o.claims.Next())
 }
 
-// askReports asks engines for their load, each in turn, within the bound.
+// askReports asks engines for their load, each in turn, within the bound. While
+// this VM brings weights to its zone it asks the zone's engines only, and more
+// often.
 func (o *Orders) askReports(ctx context.Context, now time.Time) {
+	bound, engines := float64(o.config.ReportsASecond), o.engines()
+	if swapping := o.swapping(engines); len(swapping) > 0 {
+		bound, engines = swapReportsASecond, swapping
+	}
 	if !o.last.IsZero() {
-		o.asked = min(o.asked+now.Sub(o.last).Seconds()*float64(o.config.ReportsASecond), float64(o.config.ReportsASecond))
+		o.asked = min(o.asked+now.Sub(o.last).Seconds()*bound, bound)
 	}
 	o.last = now
-	engines := o.engines()
 	for o.asked >= 1 && len(engines) > 0 {
 		o.asked--
 		o.next++
@@ -364,6 +371,18 @@
 	}
 }
 
+// swapping returns the engines of this zone in pools whose weights this VM is
+// bringing.
+func (o *Orders) swapping(all []pooledServer) []pooledServer {
+	var out []pooledServer
+	for _, e := range all {
+		if s := o.pools[e.pool]; s != nil && e.server.Zone == o.config.Zone && o.holds(s) && s.waves.Due() {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 type pooledServer struct {
 	pool   rollout.PoolName
 	server rollout.Server
--- a/lagoonlink/internal/settings/settings.go
+++ b/lagoonlink/internal/settings/settings.go
@@ -70,7 +70,7 @@
 	QueuedPerTenant int `yaml:"QueuedPerTenant" doc:"Most of those of one tenant."`
 	BodyBytes       int `yaml:"BodyBytes" doc:"Largest request body in bytes."`
 	Ring            int `yaml:"Ring" doc:"Length of the bounded ring before each duty."`
-	ReportsASecond  int `yaml:"ReportsASecond" doc:"Most load reports asked of engines each second."`
+	ReportsASecond  int `yaml:"ReportsASecond" doc:"Load reports asked of engines each second while no weights change."`
 }
 
 // Timing holds the intervals.
@@ -103,7 +103,7 @@
 	return Settings{
 		Listen: Listen{Callers: "0.0.0.0:8080", Peers: "0.0.0.0:8081", Operations: "0.0.0.0:8082"},
 		Log:    Log{Level: "info", Format: "text"},
-		Limits: Limits{QueuedPerClass: 16384, QueuedPerTenant: 8192, BodyBytes: 32 << 20, Ring: 4096, ReportsASecond: 12},
+		Limits: Limits{QueuedPerClass: 16384, QueuedPerTenant: 8192, BodyBytes: 32 << 20, Ring: 4096, ReportsASecond: 4},
 		Timing: Timing{
 			Notice:        5 * time.Second,
 			Drain:         10 * time.Minute,
--- a/lagoonlink/internal/status/status.go
+++ b/lagoonlink/internal/status/status.go
@@ -38,8 +38,10 @@
 	Node     *peer.Node
 	LastRead func() time.Time
 	Active   func() int
-	Metrics  http.Handler
-	Logger   *event.Logger
+	// Control returns the bytes exchanged with the platform and for load reports.
+	Control func() (sent, received uint64)
+	Metrics http.Handler
+	Logger  *event.Logger
 }
 
 // Server serves the port.
@@ -128,9 +130,11 @@
 	LogLastRead time.Time
 }
 
-// Traffic is what passed the peer port so far.
+// Traffic is what passed the peer port so far, and what was exchanged with the
+// platform and with engines for reports and orders.
 type Traffic struct {
 	SentBytes, ReceivedBytes, SentMessages, ReceivedMessages uint64
+	ControlSentBytes, ControlReceivedBytes                   uint64
 }
 
 // Process is what the process uses.
@@ -160,7 +164,11 @@
 		p.InForce = InForce{Version: v.Version, Digest: v.Digest, Since: v.Since, LogLastRead: s.config.LastRead()}
 	}
 	t := &s.config.Node.Traffic
-	p.Traffic = Traffic{t.SentBytes.Load(), t.ReceivedBytes.Load(), t.SentMessages.Load(), t.ReceivedMessages.Load()}
+	p.Traffic = Traffic{
+		SentBytes: t.SentBytes.Load(), ReceivedBytes: t.ReceivedBytes.Load(),
+		SentMessages: t.SentMessages.Load(), ReceivedMessages: t.ReceivedMessages.Load(),
+	}
+	p.Traffic.ControlSentBytes, p.Traffic.ControlReceivedBytes = s.config.Control()
 	return p
 }
 
--- a/lagoonlink/internal/vm/vm.go
+++ b/lagoonlink/internal/vm/vm.go
@@ -49,7 +49,7 @@
 const (
 	connectTimeout = 500 * time.Millisecond
 	idlePerServer  = 64
-	idlePlatform   = 4
+	idleControl    = 4
 	metricsEvery   = 10 * time.Second
 )
 
@@ -79,7 +79,8 @@
 	v := &VM{settings: s, logger: event.NewLogger(newLog(s.Log)), inForce: &inforce.Holder{}}
 	scope, handler := v.metrics()
 	outgoing := exchange.New(exchange.Config{Connect: connectTimeout, IdlePerServer: idlePerServer})
-	v.platform = platform.New(exchange.New(exchange.Config{Connect: connectTimeout, IdlePerServer: idlePlatform}),
+	control := exchange.New(exchange.Config{Connect: connectTimeout, IdlePerServer: idleControl})
+	v.platform = platform.New(control,
 		platform.Addresses{Log: s.Platform.Log, Weights: s.Platform.Weights, VMs: s.Platform.VMs})
 	engines := engine.New(outgoing, s.Timing.Silence)
 	v.dispatch = dispatch.New(v.dispatchConfig())
@@ -95,7 +96,7 @@
 		Logger: v.logger, SnapshotEvery: s.Timing.SnapshotEvery, Checks: configuration.Checks{Signed: signatures(s.Publish)},
 	})
 	v.orders = orders.New(orders.Config{
-		VM: rollout.VMName(s.VM.Name), Zone: rollout.Zone(s.VM.Zone), Log: v.platform, Weights: v.platform, Engine: engines,
+		VM: rollout.VMName(s.VM.Name), Zone: rollout.Zone(s.VM.Zone), Log: v.platform, Weights: v.platform, Engine: engine.New(control, s.Timing.Silence),
 		Dispatch: v.dispatch, InForce: v.inForce, Roster: v.node.Roster, Logger: v.logger, WeightsEvery: s.Timing.WeightsEvery,
 		Lease: s.Timing.Lease, Guard: s.Timing.Guard, ReportsASecond: s.Limits.ReportsASecond,
 	})
@@ -107,7 +108,7 @@
 	v.status = status.New(status.Config{
 		VM: rollout.VMName(s.VM.Name), Zone: rollout.Zone(s.VM.Zone), Address: s.Listen.Operations, InForce: v.inForce,
 		Dispatch: v.dispatch, Holder: v.holder, Node: v.node, LastRead: v.follower.LastRead, Active: v.entry.Active,
-		Metrics: handler, Logger: v.logger,
+		Metrics: handler, Logger: v.logger, Control: control.Traffic,
 	})
 	return v, nil
 }
--- a/rollout/exchange/exchange.go
+++ b/rollout/exchange/exchange.go
@@ -49,31 +49,46 @@
 // Client makes requests.
 type Client struct {
 	http *http.Client
+	// sent and received count bytes over all connections.
+	sent, received atomic.Uint64
 }
 
+// Traffic returns how many bytes were sent and received so far.
+func (c *Client) Traffic() (sent, received uint64) { return c.sent.Load(), c.received.Load() }
+
 // countingConn counts what is written to a connection.
 type countingConn struct {
 	net.Conn
+	client  *Client
 	written atomic.Uint64
 }
 
 // Write counts the bytes even when the write fails, for some may have left.
 func (c *countingConn) Write(data []byte) (int, error) {
 	c.written.Add(uint64(len(data)))
+	c.client.sent.Add(uint64(len(data)))
 	return c.Conn.Write(data)
 }
 
+// Read counts the bytes that came.
+func (c *countingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.client.received.Add(uint64(n))
+	return n, err
+}
+
 // New returns a client.
 func New(c Config) *Client {
+	client := &Client{}
 	dialer := &net.Dialer{Timeout: c.Connect}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return &countingConn{Conn: conn, client: client}, nil
 	}
-	return &Client{http: &http.Client{
+	client.http = &http.Client{
 		Transport: &http.Transport{
 			DialContext:           dial,
 			MaxIdleConnsPerHost:   c.IdlePerServer,
@@ -84,7 +99,8 @@
 			ReadBufferSize:        bufferBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
+	return client
 }
 
 // watch tells whether anything was written for a request.
