--- a/rollout/membership/members.go
+++ b/rollout/membership/members.go
@@ -171,6 +171,7 @@
 	config   Config
 	self     Update
 	members  map[rollout.VMName]*Member
+	byName   []*Member
 	order    []rollout.VMName
 	turn     int
 	probes   map[uint64]*probe
@@ -306,6 +307,7 @@
 		gone := m.State == life.VMDead || m.State == life.VMLeft
 		if gone && now.Sub(m.Since) > v.config.Timing.Forget && !v.seeds[m.Address] {
 			delete(v.members, m.Name)
+			v.byName = nil
 			continue
 		}
 		v.order = append(v.order, m.Name)
@@ -546,6 +548,7 @@
 func (v *View) meet(now time.Time, u Update) []Action {
 	m := &Member{Name: u.Name, Zone: u.Zone, Address: u.Address, Incarnation: u.Incarnation, State: u.State, Since: now}
 	v.members[u.Name] = m
+	v.byName = nil
 	v.order = append(v.order, u.Name)
 	factor := updateFactor
 	if u.State == life.VMAlive {
@@ -588,7 +591,11 @@
 	return life.VMConfirm
 }
 
+// sorted returns the members by name. The slice is kept until one comes or goes.
 func (v *View) sorted() []*Member {
+	if len(v.byName) == len(v.members) {
+		return v.byName
+	}
 	all := make([]*Member, 0, len(v.members))
 	for _, m := range v.members {
 		all = append(all, m)
@@ -599,6 +606,7 @@
 		}
 		return 1
 	})
+	v.byName = all
 	return all
 }
 
