--- a/lagoonbench/internal/report/report.go
+++ b/lagoonbench/internal/report/report.go
@@ -55,6 +55,8 @@
 	Promises
 	// TrainerIdleShare is by trainer, of the time from its first step on.
 	TrainerIdleShare map[string]float64
+	// IdleLowerBound is what a scheduler that knows every length could reach.
+	IdleLowerBound map[string]float64
 	// Staleness is versions behind at receipt, by trainer.
 	Staleness map[string]Distribution
 	// Latency is in seconds, by "tenant/class".
@@ -88,7 +90,7 @@
 	return &Collector{
 		begun: time.Now(),
 		report: Report{
-			Scenario: scenario, Seed: seed, TrainerIdleShare: map[string]float64{}, Refused: map[string]int{}, Answered: map[string]int{},
+			Scenario: scenario, Seed: seed, TrainerIdleShare: map[string]float64{}, IdleLowerBound: map[string]float64{}, Refused: map[string]int{}, Answered: map[string]int{},
 		},
 		staleness: map[string][]float64{},
 		latency:   map[string][]float64{},
@@ -197,7 +199,7 @@
 		fmt.Fprintf(t, "%s\t%d\n", row.name, row.count)
 	}
 	for _, k := range sortedKeys(r.TrainerIdleShare) {
-		fmt.Fprintf(t, "idle share of %s\t%.3f\n", k, r.TrainerIdleShare[k])
+		fmt.Fprintf(t, "idle share of %s\t%.3f\tlower bound %.3f\n", k, r.TrainerIdleShare[k], r.IdleLowerBound[k])
 	}
 	for _, k := range sortedKeys(r.Staleness) {
 		d := r.Staleness[k]
--- a/lagoonbench/internal/scenario/scenario.go
+++ b/lagoonbench/internal/scenario/scenario.go
@@ -164,11 +164,12 @@
 }
 
 func (r *Run) trainer(i int) *trainer.Trainer {
-	l, t := r.Scenario.Load, r.Environment.Configuration.Trainers[i]
+	l, t, shape := r.Scenario.Load, r.Environment.Configuration.Trainers[i], r.Environment.Config.Engine
 	return trainer.New(trainer.Config{
 		Trainer: t, Token: declare.LoopbackToken(string(t.Name)), Entries: r.Environment.Entries, Store: r.Environment.Store,
 		Steps: l.Steps, Groups: l.Groups, Samples: l.Samples, MaxTokens: l.MaxTokens, PromptBytes: l.PromptBytes, Train: l.Train,
 		PublishEvery: l.PublishEvery, Collector: r.Collector,
+		Rate: shape.Rate, Throughput: shape.Rate * shape.Knee * float64(len(r.Environment.Engines)),
 		OnStep: func(step int) { r.Collector.Note("trainer %s has step %d whole", t.Name, step) },
 	})
 }
--- a/lagoonbench/internal/standin/trainer/trainer.go
+++ b/lagoonbench/internal/standin/trainer/trainer.go
@@ -35,7 +35,10 @@
 	Train time.Duration
 	// PublishEvery is after how many steps new weights are published.
 	PublishEvery int
-	Collector    *report.Collector
+	// Rate is tokens a second of a sample that is alone on an engine, and
+	// Throughput that of all engines at any batch; they give the lower bound.
+	Rate, Throughput float64
+	Collector        *report.Collector
 	// OnStep is called when a step is whole.
 	OnStep func(step int)
 }
@@ -46,6 +49,8 @@
 	client  *trainer.Client
 	current atomic.Uint64
 	nonces  map[uint64]bool
+	// bounds is for each step the time in which nobody could have made it faster.
+	bounds []time.Duration
 }
 
 // New returns a trainer at the store's latest version of its model.
@@ -84,10 +89,35 @@
 		t.train(ctx, step)
 	}
 	share := idle.Seconds() / time.Since(begun).Seconds()
-	t.config.Collector.Change(func(r *report.Report) { r.TrainerIdleShare[string(t.config.Trainer.Name)] = share })
+	t.config.Collector.Change(func(r *report.Report) {
+		r.TrainerIdleShare[string(t.config.Trainer.Name)] = share
+		r.IdleLowerBound[string(t.config.Trainer.Name)] = t.lowerBound()
+	})
 	return nil
 }
 
+// lowerBound is the idle share under a scheduler that knows every length, gives
+// the longest sample an engine of its own from the start, and has all engines
+// for this trainer.
+func (t *Trainer) lowerBound() float64 {
+	var idle time.Duration
+	for i, b := range t.bounds {
+		if i > 0 {
+			b = max(0, b-t.config.Train)
+		}
+		idle += b
+	}
+	trained := time.Duration(len(t.bounds)) * t.config.Train
+	return idle.Seconds() / (idle + trained).Seconds()
+}
+
+// noteBound adds a step's bound from the lengths that its samples turned out to
+// have.
+func (t *Trainer) noteBound(longest, all int) {
+	seconds := max(float64(longest)/t.config.Rate, float64(all)/t.config.Throughput)
+	t.bounds = append(t.bounds, time.Duration(seconds*float64(time.Second)))
+}
+
 func (t *Trainer) train(ctx context.Context, step int) {
 	timer := time.NewTimer(t.config.Train)
 	defer timer.Stop()
@@ -120,6 +150,7 @@
 		return err
 	}
 	seen := map[int]bool{}
+	longest, all := 0, 0
 	for {
 		samples, complete, err := step.Pull(ctx, t.version)
 		if err != nil {
@@ -127,11 +158,13 @@
 		}
 		for _, s := range samples {
 			t.judge(plan, s, seen)
+			longest, all = max(longest, s.Tokens), all+s.Tokens
 		}
 		if complete {
 			break
 		}
 	}
+	t.noteBound(longest, all)
 	lost := plan.Size() - len(seen)
 	t.config.Collector.Change(func(r *report.Report) { r.Lost += lost })
 	// The step is whole: a lost close only leaves the holder to forget it later.
--- /dev/null
+++ b/lagoonctl/internal/publish/publish_test.go
@@ -0,0 +1,115 @@
+package publish_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lagoonlink.org/declare"
+	"lagoonlink.org/lagoonctl/internal/publish"
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/configuration"
+)
+
+// fakeLog is a small fake of the log with faults that are used up in turn.
+type fakeLog struct {
+	records []rollout.Record
+	faults  []fault
+}
+
+type fault uint8
+
+const (
+	lostReply fault = iota + 1
+	outage
+	limited
+)
+
+var errDown = errors.New("the log is down")
+
+func (l *fakeLog) Append(_ context.Context, _ string, data []byte) (rollout.Offset, error) {
+	var f fault
+	if len(l.faults) > 0 {
+		f, l.faults = l.faults[0], l.faults[1:]
+	}
+	switch f {
+	case outage:
+		return 0, rollout.Fail(rollout.MayHaveRun, rollout.ReasonLogUnavailable, errDown)
+	case limited:
+		return 0, rollout.Refuse(rollout.ReasonLogLimited, "too many appends")
+	}
+	at := rollout.Offset(len(l.records))
+	l.records = append(l.records, rollout.Record{Offset: at, Data: data})
+	if f == lostReply {
+		return 0, rollout.Fail(rollout.MayHaveRun, rollout.ReasonLogUnavailable, errDown)
+	}
+	return at, nil
+}
+
+func (l *fakeLog) Read(_ context.Context, _ string, from rollout.Offset, limit int, _ time.Duration) (rollout.ReadResult, error) {
+	r := rollout.ReadResult{Next: rollout.Offset(len(l.records))}
+	if int(from) < len(l.records) {
+		rest := l.records[from:]
+		r.Records = rest[:min(limit, len(rest))]
+	}
+	return r, nil
+}
+
+func document(t *testing.T, name string) []byte {
+	t.Helper()
+	c, err := declare.NewDeployment(name).WithZones("Bole").Build()
+	assert.NoError(t, "build", err)
+	data, err := configuration.Encode(c)
+	assert.NoError(t, "encode", err)
+	return data
+}
+
+func TestPublish(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		faults  []fault
+		records int
+	}{
+		{"at once", nil, 1},
+		{"after a lost reply: recognised as done", []fault{lostReply}, 1},
+		{"after an outage", []fault{outage, outage}, 1},
+		{"after a refusal for the rate", []fault{limited}, 1},
+		{"after all of them", []fault{outage, limited, lostReply}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &fakeLog{faults: c.faults}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				o, s, err := publish.New(l, configuration.Checks{}).Publish(ctx, publish.Wish{Document: document(t, "one")})
+				assert.NoError(t, "publish", err)
+				assert.Equal(t, "result", o.Result, configuration.Accepted)
+				assert.Equal(t, "version", s.Version, rollout.ConfigurationVersion(1))
+				assert.Equal(t, "records", len(l.records), c.records)
+			})
+		})
+	}
+	t.Run("the loser of a race is told", func(t *testing.T) {
+		l := &fakeLog{}
+		_, _, err := publish.New(l, configuration.Checks{}).Publish(t.Context(), publish.Wish{Document: document(t, "one")})
+		assert.NoError(t, "publish", err)
+		o, _, err := publish.New(l, configuration.Checks{}).Publish(t.Context(), publish.Wish{Document: document(t, "two")})
+		assert.NoError(t, "publish", err)
+		assert.Equal(t, "result", o.Result, configuration.RefusedBase)
+	})
+	t.Run("a log that stays down gives an error that does not claim anything", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			faults := make([]fault, 100)
+			for i := range faults {
+				faults[i] = outage
+			}
+			_, _, err := publish.New(&fakeLog{faults: faults}, configuration.Checks{}).Publish(ctx, publish.Wish{Document: document(t, "one")})
+			assert.ErrorHas(t, "publish", err, "it is not known whether it was appended")
+		})
+	})
+}
