rollout: split grown packages, one problem document, diagrams of machines

Change: events, messages and the roster in files of their own; Problem in the root package; the unused machine removed; diagrams printed from the machines; lagoonbench plot draws reports.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 docs: build
 	$(BIN)/lagoonlink document events > docs/EVENTS.md
 	$(BIN)/lagoonlink document settings > docs/SETTINGS.md
+	$(BIN)/lagoonlink document machines > docs/MACHINES.md
 
 lint: tools
 	go vet $(PACKAGES)
--- /dev/null
+++ b/lagoonbench/internal/chart/chart_test.go
@@ -0,0 +1,42 @@
+package chart_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"lagoonlink.org/lagoonbench/internal/chart"
+	"lagoonlink.org/lagoonbench/internal/report"
+	"lagoonlink.org/rollout/assert"
+)
+
+func TestDraw(t *testing.T) {
+	c := report.NewCollector("demo", 1)
+	for i := range 20 {
+		c.Answered("pages", "Service", time.Duration(i)*time.Millisecond)
+		c.Stale("notices", float64(i%3))
+	}
+	folder := t.TempDir()
+	file := filepath.Join(folder, "demo.json")
+	assert.NoError(t, "write", c.Finish().WriteFile(file))
+	for _, format := range []string{"png", "svg"} {
+		t.Run(format, func(t *testing.T) {
+			paths, err := chart.Draw([]string{file}, folder+"/", format)
+			assert.NoError(t, "draw", err)
+			for _, p := range paths {
+				info, err := os.Stat(p)
+				assert.NoError(t, "stat", err)
+				assert.True(t, "the picture has content", info.Size() > 1000)
+			}
+		})
+	}
+	t.Run("an unknown format", func(t *testing.T) {
+		_, err := chart.Draw([]string{file}, folder, "bmp")
+		assert.ErrorHas(t, "draw", err, `got "bmp"`)
+	})
+	t.Run("a missing report", func(t *testing.T) {
+		_, err := chart.Draw([]string{folder + "/none.json"}, folder, "png")
+		assert.True(t, "there is an error", err != nil)
+	})
+}
--- a/lagoonbench/internal/cmd/cmd.go
+++ b/lagoonbench/internal/cmd/cmd.go
@@ -11,6 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"lagoonlink.org/lagoonbench/internal/chart"
 	"lagoonlink.org/lagoonbench/internal/hop"
 	"lagoonlink.org/lagoonbench/internal/report"
 	"lagoonlink.org/lagoonbench/internal/scenario"
@@ -68,6 +69,22 @@
 				}, common...),
 				Action: func(ctx context.Context, c *cli.Command) error { return measureSlopes(ctx, out, c) },
 			},
+			{
+				Name:      "plot",
+				Usage:     "draw the distributions of reports",
+				ArgsUsage: "FILE...",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "prefix", Usage: "`PREFIX` of the pictures' names", Value: "./"},
+					&cli.StringFlag{Name: "format", Usage: "png or svg", Value: "png"},
+				},
+				Action: func(_ context.Context, c *cli.Command) error {
+					paths, err := chart.Draw(c.Args().Slice(), c.String("prefix"), c.String("format"))
+					for _, p := range paths {
+						fmt.Fprintln(out, p)
+					}
+					return err
+				},
+			},
 			{
 				Name:  "run",
 				Usage: "run a scenario",
--- a/lagoonbench/internal/standin/caller/caller.go
+++ b/lagoonbench/internal/standin/caller/caller.go
@@ -23,7 +23,6 @@
 	"lagoonlink.org/lagoonbench/internal/truth"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/engine"
-	"lagoonlink.org/rollout/trainer"
 )
 
 // Config configures a caller.
@@ -152,7 +151,7 @@
 }
 
 // explicitError is an error that the stream states.
-type explicitError struct{ problem trainer.Problem }
+type explicitError struct{ problem rollout.Problem }
 
 func (e explicitError) Error() string { return string(e.problem.Reason) }
 
@@ -173,7 +172,7 @@
 		}
 		var e struct {
 			engine.CompletionEvent
-			Error *trainer.Problem `json:"error"`
+			Error *rollout.Problem `json:"error"`
 		}
 		if err := json.Unmarshal([]byte(data), &e); err != nil {
 			return fmt.Errorf("%w: %w", errWrong, err)
@@ -228,8 +227,8 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-func (c *Caller) refused(class string, answer *http.Response) trainer.Problem {
-	var p trainer.Problem
+func (c *Caller) refused(class string, answer *http.Response) rollout.Problem {
+	var p rollout.Problem
 	if err := json.NewDecoder(answer.Body).Decode(&p); err != nil {
 		p.Reason = rollout.Reason(fmt.Sprintf("Status%d", answer.StatusCode))
 	}
--- a/lagoonlink/internal/cmd/cmd.go
+++ b/lagoonlink/internal/cmd/cmd.go
@@ -13,6 +13,7 @@
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/settings"
 	"lagoonlink.org/lagoonlink/internal/vm"
+	"lagoonlink.org/rollout/life"
 )
 
 // Exit codes.
@@ -60,7 +61,7 @@
 			},
 			{
 				Name:   "document",
-				Usage:  "print a generated page: events or settings",
+				Usage:  "print a generated page: events, settings or machines",
 				Hidden: true,
 				Action: func(_ context.Context, c *cli.Command) error { return document(out, c.Args().First()) },
 			},
@@ -110,9 +111,12 @@
 	case "events":
 		_, err := fmt.Fprint(out, event.Markdown())
 		return err
+	case "machines":
+		_, err := fmt.Fprint(out, life.Markdown())
+		return err
 	case "settings":
 		_, err := fmt.Fprint(out, settings.Markdown())
 		return err
 	}
-	return fmt.Errorf("document: got %q, expected events or settings", page)
+	return fmt.Errorf("document: got %q, expected events, settings or machines", page)
 }
--- a/lagoonlink/internal/entry/completions.go
+++ b/lagoonlink/internal/entry/completions.go
@@ -229,7 +229,7 @@
 		return err
 	}
 	_ = m.send(struct {
-		Error Problem `json:"error"`
+		Error rollout.Problem `json:"error"`
 	}{problemOf(rollout.FailureOf(err))})
 	return nil
 }
--- a/lagoonlink/internal/entry/problem.go
+++ b/lagoonlink/internal/entry/problem.go
@@ -11,17 +11,6 @@
 	"lagoonlink.org/rollout"
 )
 
-// Problem is the body of a refusal, as application/problem+json. The standard's
-// members keep the standard's names.
-type Problem struct {
-	Type    string `json:"type"`
-	Title   string `json:"title"`
-	Status  int    `json:"status"`
-	Detail  string `json:"detail,omitempty"`
-	Verdict string
-	Reason  rollout.Reason
-}
-
 // statusOf returns the HTTP status for a reason.
 func statusOf(r rollout.Reason) int {
 	switch r {
@@ -45,9 +34,9 @@
 	return http.StatusServiceUnavailable
 }
 
-func problemOf(f *rollout.Failure) Problem {
+func problemOf(f *rollout.Failure) rollout.Problem {
 	status := statusOf(f.Reason)
-	return Problem{
+	return rollout.Problem{
 		Type:    "about:blank",
 		Title:   http.StatusText(status),
 		Status:  status,
--- a/rollout/life/life.go
+++ b/rollout/life/life.go
@@ -1,6 +1,6 @@
 // Package life defines the state machines of the things that lagoonlink looks
-// after: a sample on its VM, an order to an engine, an entry VM as its peers
-// see it, and a request. The pure packages fire their transitions; the diagrams
+// after: a sample on its VM, an order to an engine, and an entry VM as its peers
+// see it. The pure packages fire their transitions; the diagrams
 // in the documentation are printed from the same definitions.
 //
 // A machine is shared by all things of its kind that one owner keeps: the state
@@ -63,23 +63,6 @@
 	VMRejoin  Trigger = "Rejoin"
 )
 
-// The states and triggers of a request.
-const (
-	RequestQueued     State = "Queued"
-	RequestDispatched State = "Dispatched"
-	RequestWaiting    State = "Waiting"
-	RequestAnswered   State = "Answered"
-	RequestRefused    State = "Refused"
-	RequestBroken     State = "Broken"
-
-	RequestGrant  Trigger = "Grant"
-	RequestAnswer Trigger = "Answer"
-	RequestRetry  Trigger = "Retry"
-	RequestWake   Trigger = "Wake"
-	RequestRefuse Trigger = "Refuse"
-	RequestBreak  Trigger = "Break"
-)
-
 // Store reads and writes the state of the thing that a transition is about.
 type Store struct {
 	Get func() State
@@ -176,16 +159,19 @@
 	})
 }
 
-// NewRequest returns the machine of a request.
-func NewRequest(s Store) *Machine {
-	return newMachine(s, []transition{
-		{RequestQueued, RequestGrant, RequestDispatched},
-		{RequestQueued, RequestRefuse, RequestRefused},
-		{RequestDispatched, RequestAnswer, RequestAnswered},
-		{RequestDispatched, RequestRetry, RequestWaiting},
-		{RequestDispatched, RequestRefuse, RequestRefused},
-		{RequestDispatched, RequestBreak, RequestBroken},
-		{RequestWaiting, RequestWake, RequestQueued},
-		{RequestWaiting, RequestRefuse, RequestRefused},
-	})
+// Markdown returns the page that shows the machines' diagrams.
+func Markdown() string {
+	none := Store{Get: func() State { return "" }, Set: func(State) {}}
+	page := "# State machines\n\nGenerated from package life; `make docs` writes it again.\n"
+	for _, m := range []struct {
+		title   string
+		machine *Machine
+	}{
+		{"A sample on the VM that makes it", NewSample(none)},
+		{"An order to load weights", NewOrder(none)},
+		{"An entry VM as a peer sees it", NewVM(none)},
+	} {
+		page += "\n## " + m.title + "\n\n```dot\n" + m.machine.Graph() + "\n```\n"
+	}
+	return page
 }
--- a/rollout/membership/members.go
+++ b/rollout/membership/members.go
@@ -18,8 +18,6 @@
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/life"
 )
@@ -78,66 +76,6 @@
 	announceVMs = 12
 )
 
-// Kind is the kind of a message.
-type Kind uint8
-
-// The kinds of messages.
-const (
-	KindPing Kind = iota + 1
-	KindAck
-	// KindPingRequest asks the receiver to ping Target and pass its ack on.
-	KindPingRequest
-)
-
-// Update is news of one VM.
-type Update struct {
-	Name        rollout.VMName
-	Zone        rollout.Zone
-	Address     string
-	Incarnation uint64
-	State       life.State
-}
-
-// Facts is what travels on every message besides the news of VMs.
-type Facts struct {
-	// Version is of the configuration in force, Digest the begin of its digest.
-	Version rollout.ConfigurationVersion
-	Digest  string `cbor:",omitempty"`
-}
-
-// Message is what VMs send each other.
-type Message struct {
-	Kind     Kind
-	Sequence uint64
-	From     Update
-	Target   string   `cbor:",omitempty"`
-	Updates  []Update `cbor:",omitempty"`
-	Facts    Facts
-}
-
-// Action is something that the owner of the view must do.
-type Action interface{ action() }
-
-// The actions of the view.
-type (
-	// Send sends a message to an address.
-	Send struct {
-		Address string
-		Message Message
-	}
-	// Changed tells that a VM's state changed.
-	Changed struct{ Member Member }
-	// Heard tells a peer's facts.
-	Heard struct {
-		From  Member
-		Facts Facts
-	}
-)
-
-func (Send) action()    {}
-func (Changed) action() {}
-func (Heard) action()   {}
-
 // Member is one VM as this one sees it.
 type Member struct {
 	Name        rollout.VMName
@@ -626,58 +564,3 @@
 func memberOf(u Update) Member {
 	return Member{Name: u.Name, Zone: u.Zone, Address: u.Address, Incarnation: u.Incarnation, State: u.State}
 }
-
-// Roster is an immutable copy of the living VMs, this one included.
-type Roster struct {
-	Self    Member
-	Members []Member
-}
-
-// Roster returns the VMs that are alive or only suspected.
-func (v *View) Roster() Roster {
-	r := Roster{Self: v.Self()}
-	for _, m := range v.sorted() {
-		if m.State == life.VMAlive || m.State == life.VMSuspect {
-			r.Members = append(r.Members, *m)
-		}
-	}
-	if v.self.State == life.VMAlive {
-		r.Members = append(r.Members, r.Self)
-	}
-	return r
-}
-
-// Rank orders the VMs of a zone by rendezvous hash for a key: the first is the
-// key's holder, the next takes over. Without VMs in the zone, all living VMs are
-// ranked, so that those that see each other agree.
-func (r Roster) Rank(key string, zone rollout.Zone) []Member {
-	in := r.inZone(zone)
-	if len(in) == 0 {
-		in = slices.Clone(r.Members)
-	}
-	slices.SortFunc(in, func(a, b Member) int {
-		x, y := weight(key, a.Name), weight(key, b.Name)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
-	})
-	return in
-}
-
-func weight(key string, name rollout.VMName) uint64 {
-	return xxh3.HashString(key + "\x00" + string(name))
-}
-
-func (r Roster) inZone(z rollout.Zone) []Member {
-	var out []Member
-	for _, m := range r.Members {
-		if m.Zone == z {
-			out = append(out, m)
-		}
-	}
-	return out
-}
--- a/rollout/trainer/client.go
+++ b/rollout/trainer/client.go
@@ -82,16 +82,6 @@
 	Groups  []rollout.Group
 }
 
-// Problem is the body of a refusal.
-type Problem struct {
-	Type    string `json:"type"`
-	Title   string `json:"title"`
-	Status  int    `json:"status"`
-	Detail  string `json:"detail,omitempty"`
-	Verdict string
-	Reason  rollout.Reason
-}
-
 // Open opens a step. Opening the same step again is idempotent.
 func (c *Client) Open(ctx context.Context, plan rollout.StepPlan) (*Step, error) {
 	s := &Step{client: c, plan: plan, held: rollout.NewHeld(plan.Size())}
@@ -244,7 +234,7 @@
 
 // problem returns the failure that a refusal states.
 func problem(status int, text []byte) error {
-	var p Problem
+	var p rollout.Problem
 	if err := json.Unmarshal(text, &p); err != nil {
 		return rollout.Fail(rollout.MayHaveRun, rollout.ReasonInternal, errors.Join(fmt.Errorf("status %d", status), err))
 	}
