peer: dial without holding up requests to other peers

Cause: read as a newcomer: a request to a silent peer dialed under the lock of all links, so every request to any peer waited up to a second. Change: dialing holds no lock; the first of two connections is kept. Figures: TestSilentPeerHoldsUpNobody asks another peer while the handshake of a silent one is open and gets its answer; it could not before, as get held the lock through the dial. Conclusion: a dead peer costs its own requests only.

--- a/lagoonlink/internal/peer/link.go
+++ b/lagoonlink/internal/peer/link.go
@@ -107,13 +107,39 @@
 	}
 }
 
+// get returns the connection to a peer. Dialing holds no lock, so that a peer
+// that does not answer holds up no request to another; of two connections made
+// at once the first is kept.
 func (s *links) get(ctx context.Context, address string) (*link, error) {
+	if l := s.known(address); l != nil {
+		return l, nil
+	}
+	l, err := s.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l := s.links[address]; l != nil {
+	if first := s.links[address]; first != nil {
+		_ = l.conn.CloseNow()
+		return first, nil
+	}
+	s.links[address] = l
+	go s.read(address, l)
+	return l, nil
+}
+
+func (s *links) known(address string) *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[address]
+	if l != nil {
 		l.used = time.Now()
-		return l, nil
 	}
+	return l
+}
+
+func (s *links) dial(ctx context.Context, address string) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	header := http.Header{headerProof: {proof(s.node.config.Keys[0], address, time.Now())}}
@@ -122,10 +148,7 @@
 		return nil, err
 	}
 	conn.SetReadLimit(wire.MaxFrameBytes)
-	l := &link{conn: conn, waiting: map[uint64]chan wire.Body{}, used: time.Now()}
-	s.links[address] = l
-	go s.read(address, l)
-	return l, nil
+	return &link{conn: conn, waiting: map[uint64]chan wire.Body{}, used: time.Now()}, nil
 }
 
 func (s *links) write(conn *websocket.Conn, f wire.Frame) error {
