rollout, orders: remove state that nothing reads

Cause: read as a newcomer: fields and a method that were written and never read (placement's report time, orders' flags, a step's attempts). Conclusion: behaviour is unchanged.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -263,7 +263,7 @@
 		}
 	case reportMessage:
 		if k := d.desks[Target{Pool: m.pool}]; k != nil {
-			k.pool.Reported(now, m.server, m.report)
+			k.pool.Reported(m.server, m.report)
 			d.serve(now, k)
 		}
 	case listMessage:
--- a/lagoonlink/internal/orders/orders.go
+++ b/lagoonlink/internal/orders/orders.go
@@ -73,10 +73,8 @@
 	pool  rollout.Pool
 	waves *weights.Waves
 	// claim is this VM's last claim; asked is when its append began.
-	claim weights.Claim
-	asked time.Time
-	// busy tells that the append has not returned.
-	busy   bool
+	claim  weights.Claim
+	asked  time.Time
 	paused time.Time
 	won    rollout.Offset
 }
@@ -100,7 +98,6 @@
 	next    int
 	asked   float64
 	last    time.Time
-	failing bool
 }
 
 // New returns the duty.
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -66,7 +66,6 @@
 	listed    bool
 	refusing  time.Time
 	report    rollout.LoadReport
-	reported  time.Time
 	prefixes  map[uint64]time.Time
 }
 
@@ -324,9 +323,9 @@
 }
 
 // Reported takes a server's load report.
-func (p *Pool) Reported(now time.Time, name rollout.ServerName, r rollout.LoadReport) {
+func (p *Pool) Reported(name rollout.ServerName, r rollout.LoadReport) {
 	if s := p.find(name); s != nil {
-		s.report, s.reported = r, now
+		s.report = r
 	}
 }
 
--- a/rollout/placement/pool_test.go
+++ b/rollout/placement/pool_test.go
@@ -44,13 +44,13 @@
 			p.Declare(placement.Config{Zone: "Bole", MaxConcurrency: 16}, s)
 		}, placement.Want{}},
 		{"listed as leaving", func(p *placement.Pool) { p.Listed(map[string]bool{"a": true}) }, placement.Want{}},
-		{"reports that it leaves", func(p *placement.Pool) { p.Reported(start, "a", rollout.LoadReport{Leaving: true}) }, placement.Want{}},
+		{"reports that it leaves", func(p *placement.Pool) { p.Reported("a", rollout.LoadReport{Leaving: true}) }, placement.Want{}},
 		{"refused because it leaves", func(p *placement.Pool) { p.Ended(start, "a", placement.Outcome{Leaving: true}) }, placement.Want{}},
 		{"no longer declared", func(p *placement.Pool) { p.Declare(placement.Config{Zone: "Bole", MaxConcurrency: 16}, servers("b")) }, placement.Want{}},
 		{"to be avoided", func(*placement.Pool) {}, placement.Want{Avoid: []rollout.ServerName{"a"}}},
 		{"too old a version", func(p *placement.Pool) {
-			p.Reported(start, "a", rollout.LoadReport{Loaded: map[rollout.ModelName]rollout.WeightVersion{"m": 1}})
-			p.Reported(start, "b", rollout.LoadReport{Loaded: v2})
+			p.Reported("a", rollout.LoadReport{Loaded: map[rollout.ModelName]rollout.WeightVersion{"m": 1}})
+			p.Reported("b", rollout.LoadReport{Loaded: v2})
 		}, placement.Want{Model: "m", MinVersion: 2}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/rollout/sample/step.go
+++ b/rollout/sample/step.go
@@ -517,15 +517,5 @@
 	return c
 }
 
-// Attempts returns the attempts that are queued or running.
-func (s *Step) Attempts() []AttemptID {
-	ids := make([]AttemptID, 0, len(s.attempts))
-	for id := range s.attempts {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // Plan returns the step's plan.
 func (s *Step) Plan() rollout.StepPlan { return s.plan }
