--- a/lagoonlink/internal/peer/link.go
+++ b/lagoonlink/internal/peer/link.go
@@ -64,12 +64,16 @@
 // links keeps one outgoing connection to each peer that was asked lately.
 type links struct {
 	node *Node
+	// timeout bounds the making of a connection.
+	timeout time.Duration
 
 	mu    sync.Mutex
 	links map[string]*link
 }
 
-func newLinks(n *Node) *links { return &links{node: n, links: map[string]*link{}} }
+func newLinks(n *Node) *links {
+	return &links{node: n, timeout: dialTimeout, links: map[string]*link{}}
+}
 
 // link is one outgoing connection with the requests that wait on it.
 type link struct {
@@ -140,7 +144,7 @@
 }
 
 func (s *links) dial(ctx context.Context, address string) (*link, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	header := http.Header{headerProof: {proof(s.node.config.Keys[0], address, time.Now())}}
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+pathPeer, &websocket.DialOptions{HTTPHeader: header})
--- a/lagoonlink/internal/peer/link_test.go
+++ b/lagoonlink/internal/peer/link_test.go
@@ -97,6 +97,8 @@
 	defer silent.Close()
 	server, client := node(t, "server", key), node(t, "client", key)
 	serve(t, server)
+	// The silent peer is waited for until the test gives up on it.
+	client.links.timeout = time.Hour
 	ctx, cancel := context.WithCancel(t.Context())
 	asked := make(chan error, 1)
 	go func() {
