weights, swaps: give the next order when a load is over, unusable engines first

Ruled out: the size of a wave; more loads at a time only make each longer. Change: an engine that was given an order counts as loading for 0.92 s and its new version is tried from then on; the confirmation comes later.

--- a/lagoonlink/internal/fleet/fleet.go
+++ b/lagoonlink/internal/fleet/fleet.go
@@ -238,9 +238,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a.Loaded {
-		f.known.Saw(a.Server, a.Model, a.Version)
+		f.known.Saw(time.Now(), a.Server, a.Model, a.Version)
 	} else {
-		f.known.Given(time.Now(), a.Server, rollout.NamedVersion{Model: a.Model, Version: a.Version})
+		now := time.Now()
+		f.known.Given(now, a.Server, rollout.NamedVersion{Model: a.Model, Version: a.Version})
+		time.AfterFunc(weights.Settled(now).Sub(now), func() { f.locked(func() { f.reportServer(a.Server) }) })
 	}
 	f.reportServer(a.Server)
 }
@@ -249,7 +251,7 @@
 func (f *Fleet) Saw(s rollout.ServerName, m rollout.ModelName, v rollout.WeightVersion) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.known.Saw(s, m, v)
+	f.known.Saw(time.Now(), s, m, v)
 	f.reportServer(s)
 }
 
--- a/lagoonlink/internal/swaps/swaps.go
+++ b/lagoonlink/internal/swaps/swaps.go
@@ -30,9 +30,9 @@
 	// yieldSlack is added to the time that must lie between two VMs' orders; it
 	// covers giveWithin and the way to the engine.
 	yieldSlack = giveWithin + 200*time.Millisecond
-	// loadTime is when an engine is first asked whether it has loaded: a load
-	// takes 0.9 s and a report is 0.2 s behind.
-	loadTime = 1150 * time.Millisecond
+	// reportLag is how old an engine's report may be: an engine is first asked
+	// whether it has loaded this long after the time of a load.
+	reportLag = 230 * time.Millisecond
 	// askEvery and askFor bound the questions after it.
 	askEvery = 300 * time.Millisecond
 	askFor   = 6 * time.Second
@@ -72,6 +72,8 @@
 	known    bool
 	ordering bool
 	target   rollout.NamedVersion
+	// given is when the newest order was announced.
+	given time.Time
 	// rest is until when no order is given.
 	rest time.Time
 }
@@ -89,10 +91,22 @@
 	foreign time.Time
 	engines map[rollout.ServerName]*engine
 	group   sync.WaitGroup
+	// kick asks for a decision at once.
+	kick chan struct{}
 }
 
 // New returns the duty.
-func New(c Config) *Swaps { return &Swaps{config: c, engines: map[rollout.ServerName]*engine{}} }
+func New(c Config) *Swaps {
+	return &Swaps{config: c, engines: map[rollout.ServerName]*engine{}, kick: make(chan struct{}, 1)}
+}
+
+// wake asks for a decision at once.
+func (s *Swaps) wake() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
 
 // sinceBoot returns the time since the machine's start, which also counts while
 // the machine is suspended, unlike the clock of package time.
@@ -172,6 +186,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-changes:
+		case <-s.kick:
 		case <-tick.C:
 		}
 		if s.config.Leads() && s.mayGive() {
@@ -213,7 +228,7 @@
 		if g := s.engines[name]; g != nil {
 			e.Ordering = g.ordering || now.Before(g.rest)
 			if g.ordering {
-				e.Target = g.target
+				e.Target, e.Loading = g.target, now.Sub(g.given) < weights.LoadTime
 			}
 		}
 		f.Engines = append(f.Engines, e)
@@ -261,14 +276,15 @@
 	if err := s.config.Journal.AppendAt(ctx, partition, at, [][]byte{data}); err != nil {
 		var moved *rollout.MovedError
 		if !errors.As(err, &moved) {
-			s.failed(server, w, err)
+			s.config.Logger.Write(event.JournalUnwritable, event.Fields{"Partition": partition, "Server": server.Name, "Error": err})
 		}
 		return false
 	}
 	s.mu.Lock()
 	s.next = max(s.next, at+1)
-	g.ordering, g.target = true, rollout.NamedVersion{Model: w.Model, Version: w.Version}
+	g.ordering, g.target, g.given = true, rollout.NamedVersion{Model: w.Model, Version: w.Version}, time.Now()
 	s.mu.Unlock()
+	time.AfterFunc(weights.LoadTime, s.wake)
 	s.config.Fleet.Announced(weights.Announcement{Holder: s.config.VM, Server: server.Name, Model: w.Model, Version: w.Version})
 	if sinceBoot()-begun > giveWithin || !s.config.Leads() {
 		s.end(server.Name)
@@ -324,7 +340,7 @@
 
 // await asks the engine until it has loaded the version.
 func (s *Swaps) await(ctx context.Context, server rollout.Server, o rollout.EngineOrder) bool {
-	sleep(ctx, loadTime)
+	sleep(ctx, weights.LoadTime+reportLag)
 	for end := time.Now().Add(askFor); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, askEvery) {
 		state, err := s.config.Control.State(ctx, server)
 		if err != nil {
@@ -358,6 +374,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.engine(name).ordering = false
+	s.wake()
 }
 
 func (s *Swaps) failed(server rollout.Server, w weights.Swap, err error) {
--- a/rollout/weights/rotation.go
+++ b/rollout/weights/rotation.go
@@ -27,6 +27,8 @@
 	Loaded map[rollout.ModelName]rollout.WeightVersion
 	// Ordering tells that an order is on its way or must wait.
 	Ordering bool
+	// Loading tells that the engine probably loads at this moment.
+	Loading bool
 	// Target is the model and version of that order.
 	Target rollout.NamedVersion
 }
@@ -58,7 +60,7 @@
 	}
 	room := max(1, len(f.Engines)/loadShare)
 	for _, e := range f.Engines {
-		if e.Ordering {
+		if e.Loading {
 			room--
 		}
 	}
@@ -89,7 +91,12 @@
 	return (f.share() + turns - 1) / turns
 }
 
+// usableWeight is what an unusable engine weighs against one that is not newest.
+const usableWeight = 3
+
 // neediest returns the model that lacks the largest part of what it should have.
+// Engines that can't be used at all weigh more than versions that are not the
+// newest: a step waits for the former.
 func (f *Fleet) neediest(taken map[rollout.ServerName]bool, swaps []Swap) (FleetModel, bool) {
 	var best FleetModel
 	worst := 0.0
@@ -110,8 +117,9 @@
 				usable++
 			}
 		}
-		lack := max(float64(f.fresh(m)-newest)/float64(f.fresh(m)), float64(f.share()-usable)/float64(f.share()))
-		if lack > worst {
+		newestLack := max(0, float64(f.fresh(m)-newest)/float64(f.fresh(m)))
+		usableLack := max(0, float64(f.share()-usable)/float64(f.share()))
+		if lack := newestLack + usableWeight*usableLack; lack > worst {
 			best, worst = m, lack
 		}
 	}
@@ -193,9 +201,16 @@
 	return xxh3.HashString(string(m) + "/" + string(s))
 }
 
-// swapHold is how long an engine that was given an order counts as loading when
-// nothing tells that it has ended: a load takes about 1 s, more when many load.
-const swapHold = 4 * time.Second
+// Numbers of a load that nothing has confirmed yet.
+const (
+	// LoadTime is how long an engine takes to change weights when few others do.
+	LoadTime = 920 * time.Millisecond
+	// loadSlack is added before its requests are tried.
+	loadSlack = 60 * time.Millisecond
+	// swapHold is how long an order that was announced is believed when nothing
+	// confirms it.
+	swapHold = 4 * time.Second
+)
 
 // Known merges what is known of the engines' versions: their entries in service
 // discovery, which lag, announced orders, and the versions that came with tokens.
@@ -206,8 +221,9 @@
 type knownEngine struct {
 	incarnation int64
 	loaded      map[rollout.ModelName]rollout.WeightVersion
-	loading     rollout.NamedVersion
-	until       time.Time
+	// loading is an order that was announced at given and is not confirmed.
+	loading rollout.NamedVersion
+	given   time.Time
 }
 
 // NewKnown returns a state that knows nothing.
@@ -245,24 +261,39 @@
 func (k *Known) Given(now time.Time, s rollout.ServerName, o rollout.NamedVersion) {
 	e := k.engine(s)
 	if e.loaded[o.Model] < o.Version {
-		e.loading, e.until = o, now.Add(swapHold)
+		e.loading, e.given = o, now
 	}
 }
 
-// Saw takes a version that an engine certainly has.
-func (k *Known) Saw(s rollout.ServerName, m rollout.ModelName, v rollout.WeightVersion) {
-	k.engine(s).saw(m, v)
+// Saw takes a version that an engine has at this moment. One that is older than
+// an announced load, after its time, tells that the load has not happened.
+func (k *Known) Saw(now time.Time, s rollout.ServerName, m rollout.ModelName, v rollout.WeightVersion) {
+	e := k.engine(s)
+	e.saw(m, v)
+	if e.loading.Model == m && now.Sub(e.given) > LoadTime+loadSlack {
+		e.loading = rollout.NamedVersion{}
+	}
 }
 
-// Loaded returns the versions that an engine serves now. A model that is being
-// loaded is left out, for the engine refuses its requests meanwhile.
+// Settled returns when an announced load is expected to be over.
+func Settled(given time.Time) time.Time { return given.Add(LoadTime + loadSlack) }
+
+// Loaded returns the versions that an engine probably serves now. A model that
+// is being loaded is left out, for the engine refuses its requests meanwhile;
+// after the time of a load the announced version counts until something
+// contradicts it.
 func (k *Known) Loaded(now time.Time, s rollout.ServerName) map[rollout.ModelName]rollout.WeightVersion {
 	e := k.engine(s)
 	out := make(map[rollout.ModelName]rollout.WeightVersion, len(e.loaded))
 	for m, v := range e.loaded {
-		if e.loading.Model != m || !now.Before(e.until) {
-			out[m] = v
-		}
+		out[m] = v
+	}
+	switch age := now.Sub(e.given); {
+	case e.loading.Model == "" || age > swapHold:
+	case now.Before(Settled(e.given)):
+		delete(out, e.loading.Model)
+	default:
+		out[e.loading.Model] = max(out[e.loading.Model], e.loading.Version)
 	}
 	return out
 }
