weights, placement: rotate versions over all engines; prefer faster servers

Cause: a load in mode continue stops the model's runs on that engine for 0.9 s; with fixed homes a sample of 7.2 s always met one, and steps of 7 s drifted. Ruled out: fragments of carried groups, whose versions are too old to be used. Change: each version goes to engines that can't serve the model any more; the pool starts at its servers' declared slots; a server that is twice as slow loses 0.6 in its score.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -26,6 +26,9 @@
 	Policy  placement.Policy
 	InForce *inforce.Holder
 	Logger  *event.Logger
+	// StartLimit returns the limit of a server that nothing is known of, from the
+	// most that it may have; 0 means the default.
+	StartLimit func(most int) int
 	// Reachable reports whether a server still takes connections.
 	Reachable func(address string) bool
 	// Announce is called when suspicions changed, so that other VMs hear at once.
@@ -148,6 +151,9 @@
 
 // New returns the duty; Run must be running for the other methods to return.
 func New(c Config) *Dispatcher {
+	if c.StartLimit == nil {
+		c.StartLimit = func(int) int { return 0 }
+	}
 	return &Dispatcher{
 		config:   c,
 		ring:     make(chan any, c.Ring),
@@ -331,7 +337,7 @@
 }
 
 func (d *Dispatcher) placement(most, reserve int) placement.Config {
-	return placement.Config{Zone: d.config.Zone, MaxConcurrency: most, Reserve: reserve, Policy: d.config.Policy}
+	return placement.Config{Zone: d.config.Zone, MaxConcurrency: most, Reserve: reserve, Policy: d.config.Policy, Start: d.config.StartLimit(most)}
 }
 
 func (d *Dispatcher) desk(t Target) *desk {
--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -93,7 +93,7 @@
 	JobAccepted        = define(720, logrus.InfoLevel, "a job was accepted", "None.")
 	JobTaken           = define(721, logrus.InfoLevel, "this VM runs a job's samples", "None.")
 	JobEnded           = define(722, logrus.InfoLevel, "a job ended on this VM", "None.")
-	SampleListed       = define(723, logrus.DebugLevel, "a sample's result was listed", "None.")
+	SampleMade         = define(723, logrus.InfoLevel, "a sample ended and its result is written", "None.")
 	SampleGivenUp      = define(724, logrus.WarnLevel, "a sample was given up", "Look at Cause.")
 	SampleInterrupted  = define(725, logrus.InfoLevel, "a run of a sample was interrupted; it goes on elsewhere", "Look at the backend server when it goes on.")
 	JournalUnwritable  = define(726, logrus.WarnLevel, "records can't be appended; they are kept and tried again", "Check the store.")
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -114,6 +114,8 @@
 	g.dispatch = dispatch.New(dispatch.Config{
 		Zone: c.Zone, Ring: ring, Limits: fair.Limits{Items: queued, TenantItems: queued}, Policy: placement.PolicyLocality,
 		InForce: inForce, Logger: c.Logger, Reachable: exchange.Reachable, Announce: func() {},
+		// The servers say how much they run at once.
+		StartLimit: func(most int) int { return most },
 	})
 	g.fleet = fleet.New(fleet.Config{Operator: c.Operator, Servers: c.Servers, InForce: inForce, Dispatch: g.dispatch, Logger: c.Logger})
 	g.owner = ownership.New(ownership.Config{
--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -280,11 +280,11 @@
 	r.resume(u, s, progress)
 	ctx, cancel := context.WithDeadline(u.ctx, u.submission.At.Add(u.submission.Retention+retentionSlack))
 	defer cancel()
-	t := try{runner: r, run: u, sample: s, progress: progress}
+	t := try{runner: r, run: u, sample: s, progress: progress, resumed: progress.Pieces()}
 	for ctx.Err() == nil {
 		outcome, over := t.once(ctx, ticket)
 		if over {
-			r.finish(u, index, outcome, progress)
+			r.finish(u, index, outcome, progress, &t)
 			return
 		}
 		var err error
@@ -295,7 +295,7 @@
 	}
 	if u.ctx.Err() == nil {
 		k.config.Logger.Write(event.SampleGivenUp, event.Fields{"Job": u.job.ID, "Sample": s.ID, "Cause": "Retention", "Age": time.Since(u.submission.At).String()})
-		r.finish(u, index, job.GivenUp, job.NewProgress(job.Terms{}))
+		r.finish(u, index, job.GivenUp, job.NewProgress(job.Terms{}), &t)
 		return
 	}
 	if cause := context.Cause(u.ctx); progress.Pieces() >= fragmentPieces && !errors.Is(cause, errDisowned) {
@@ -303,13 +303,16 @@
 	}
 }
 
-func (r *runner) finish(u *run, index int, outcome job.Outcome, p *job.Progress) {
+func (r *runner) finish(u *run, index int, outcome job.Outcome, p *job.Progress, t *try) {
 	result := &job.Result{Job: u.job.ID, Index: index, Outcome: outcome, Versions: p.Versions()}
 	text := p.Text()
 	if outcome != job.Done {
 		text, result.Versions = nil, nil
 	}
-	r.keeper.config.Logger.Write(event.SampleListed, event.Fields{"Job": u.job.ID, "Sample": u.submission.Samples[index].ID, "Pieces": p.Pieces()})
+	r.keeper.config.Logger.Write(event.SampleMade, event.Fields{
+		"Job": u.job.ID, "Sample": t.sample.ID, "Outcome": outcome, "Pieces": p.Pieces(), "Resumed": t.resumed, "Versions": p.Versions(),
+		"Servers": t.servers, "Waited": t.waited.Seconds(), "Age": time.Since(u.submission.At).Seconds(), "Estimate": t.sample.Length,
+	})
 	r.keeper.writers[u.number].put(ended{text: text, result: result})
 }
 
@@ -376,6 +379,11 @@
 	progress *job.Progress
 	avoid    []rollout.ServerName
 	moves    int
+	// resumed is how many pieces were there before the first run, servers are
+	// those that ran it, waited is the time in the queue: all for the log.
+	resumed int
+	servers []rollout.ServerName
+	waited  time.Duration
 }
 
 // once waits for a server and runs the sample there. It reports how the sample
@@ -384,12 +392,15 @@
 	if ticket == nil {
 		return 0, false
 	}
+	asked := time.Now()
 	grant, err := ticket.Wait(ctx)
+	t.waited += time.Since(asked)
 	if err != nil {
 		t.avoid = nil
 		sleep(ctx, noServerPause)
 		return 0, false
 	}
+	t.servers = append(t.servers, grant.Server.Name)
 	begun, before := time.Now(), t.progress.Pieces()
 	err = t.generate(ctx, grant)
 	made := t.progress.Pieces() - before
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -35,7 +35,9 @@
 	MaxConcurrency int
 	// Reserve is how much of a limit rollouts leave free.
 	Reserve int
-	Policy  Policy
+	// Start is the limit of a server that nothing is known of; 0 means 8.
+	Start  int
+	Policy Policy
 }
 
 // Numbers of the adaptive limit and of ejection.
@@ -67,6 +69,9 @@
 	refusing  time.Time
 	report    rollout.LoadReport
 	prefixes  map[uint64]time.Time
+	// pace is the time for a unit of work lately, paced when it was measured.
+	pace  float64
+	paced time.Time
 }
 
 // Pool is the placement state of one pool or service.
@@ -91,7 +96,7 @@
 	for _, d := range declared {
 		s := known[d.Name]
 		if s == nil || s.declared.Address != d.Address {
-			s = &server{limit: startLimit, prefixes: map[uint64]time.Time{}}
+			s = &server{limit: float64(c.start()), prefixes: map[uint64]time.Time{}}
 		}
 		s.declared = d
 		s.limit = min(s.limit, float64(c.MaxConcurrency))
@@ -99,6 +104,13 @@
 	}
 }
 
+func (c Config) start() int {
+	if c.Start > 0 {
+		return c.Start
+	}
+	return startLimit
+}
+
 // Want describes a piece of work.
 type Want struct {
 	Class rollout.Class
@@ -117,7 +129,7 @@
 	if len(able) == 0 {
 		return rollout.Server{}, false
 	}
-	return p.choose(able, w).declared, true
+	return p.choose(now, able, w).declared, true
 }
 
 // Serves reports whether any server could ever take the work, apart from load.
@@ -162,7 +174,7 @@
 	return s.limit
 }
 
-func (p *Pool) choose(able []*server, w Want) *server {
+func (p *Pool) choose(now time.Time, able []*server, w Want) *server {
 	switch p.config.Policy {
 	case PolicyRoundRobin:
 		p.turn++
@@ -172,16 +184,59 @@
 	case PolicyLocality:
 	}
 	p.turn++
+	fastest := p.fastest(now)
 	best, bestScore := able[0], 0.0
 	for i := range able {
 		s := able[(i+p.turn)%len(able)]
-		if score := p.score(s, w); i == 0 || score < bestScore {
+		if score := p.score(s, w) + s.slowness(now, fastest); i == 0 || score < bestScore {
 			best, bestScore = s, score
 		}
 	}
 	return best
 }
 
+// Numbers of the preference for faster servers.
+const (
+	// paceAge is how long a measured pace counts; a server that was slow gets
+	// work again after it.
+	paceAge = 4 * time.Second
+	// paceWeight is the newest measurement's part of the pace.
+	paceWeight = 0.4
+	// slowPenalty is what a server that takes twice as long loses in its score.
+	slowPenalty = 0.6
+)
+
+// fastest returns the best pace among the servers lately, or 0.
+func (p *Pool) fastest(now time.Time) float64 {
+	best := 0.0
+	for _, s := range p.servers {
+		if s.pace > 0 && now.Sub(s.paced) < paceAge && (best == 0 || s.pace < best) {
+			best = s.pace
+		}
+	}
+	return best
+}
+
+// slowness is what a server's score loses by its pace.
+func (s *server) slowness(now time.Time, fastest float64) float64 {
+	if fastest == 0 || s.pace == 0 || now.Sub(s.paced) >= paceAge {
+		return 0
+	}
+	return slowPenalty * (s.pace/fastest - 1)
+}
+
+// measured takes the time that a unit of work took.
+func (s *server) measured(now time.Time, perUnit float64) {
+	if perUnit <= 0 {
+		return
+	}
+	if s.pace == 0 || now.Sub(s.paced) >= paceAge {
+		s.pace = perUnit
+	}
+	s.pace += paceWeight * (perUnit - s.pace)
+	s.paced = now
+}
+
 // otherZonePenalty keeps work in its zone until the zone's servers are nearly
 // full.
 const otherZonePenalty = 0.8
@@ -261,6 +316,7 @@
 		return
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	s.measured(now, o.PerUnit)
 	switch {
 	case o.Leaving:
 		s.refusing = now.Add(refusalHold)
--- a/rollout/weights/rotation.go
+++ b/rollout/weights/rotation.go
@@ -50,10 +50,10 @@
 	Mode    rollout.SwapMode
 }
 
-// Rotate returns the orders to give now. Each model gets an equal share of the
-// engines. A share of those, one in Behind+1, loads each newest version, the
-// engines with the oldest version first, so that the others go on serving with
-// a version that is still fresh and no engine loads more often than needed.
+// Rotate returns the orders to give now. The engines take turns: each newest
+// version goes to the engines that can't serve the model any more, so that those
+// that generate its samples are not interrupted, and to as few that, with the
+// versions before that are still fresh, each model has its share of the engines.
 func Rotate(f Fleet) []Swap {
 	if len(f.Models) == 0 || len(f.Engines) == 0 {
 		return nil
@@ -67,7 +67,7 @@
 	taken := map[rollout.ServerName]bool{}
 	var swaps []Swap
 	for room > 0 {
-		m, ok := f.neediest(taken, swaps)
+		m, ok := f.neediest(swaps)
 		if !ok {
 			return swaps
 		}
@@ -97,7 +97,7 @@
 // neediest returns the model that lacks the largest part of what it should have.
 // Engines that can't be used at all weigh more than versions that are not the
 // newest: a step waits for the former.
-func (f *Fleet) neediest(taken map[rollout.ServerName]bool, swaps []Swap) (FleetModel, bool) {
+func (f *Fleet) neediest(swaps []Swap) (FleetModel, bool) {
 	var best FleetModel
 	worst := 0.0
 	for _, m := range f.Models {
@@ -107,7 +107,7 @@
 			if v >= m.Named {
 				newest++
 			}
-			if uint64(v)+m.Behind >= uint64(m.Named) {
+			if m.usable(v) {
 				usable++
 			}
 		}
@@ -134,68 +134,52 @@
 	return e.Loaded[m]
 }
 
-// home returns the model that the engine serves: the one that it is least
-// behind in. Engines that are as far behind in several have none.
-func (f *Fleet) home(e FleetEngine) rollout.ModelName {
-	var home rollout.ModelName
-	least, ties := ^uint64(0), 0
-	for _, m := range f.Models {
-		behind := uint64(m.Named - min(m.Named, e.version(m.Name)))
-		switch {
-		case behind < least:
-			home, least, ties = m.Name, behind, 1
-		case behind == least:
-			ties++
-		}
-	}
-	if ties > 1 {
-		return ""
-	}
-	return home
+// usable reports whether samples may be generated with a version.
+func (m *FleetModel) usable(v rollout.WeightVersion) bool {
+	return uint64(v)+m.Behind >= uint64(m.Named)
 }
 
-// candidate returns the engine that loads a model next: one that serves it or
-// nothing and has the oldest version, or else one that serves a model with more
-// engines than its share.
+// candidate returns the engine that loads a model next: one that can't serve the
+// model and serves the fewest others, or else the one with the oldest version.
 func (f *Fleet) candidate(m FleetModel, taken map[rollout.ServerName]bool) (FleetEngine, bool) {
-	serving := map[rollout.ModelName]int{}
-	for _, e := range f.Engines {
-		serving[f.home(e)]++
-	}
 	var able []FleetEngine
 	for _, e := range f.Engines {
-		if taken[e.Name] || e.Ordering || e.Loaded[m.Name] >= m.Named {
-			continue
-		}
-		home := f.home(e)
-		if home == m.Name || home == "" || serving[home] > f.share() {
+		if !taken[e.Name] && !e.Ordering && e.Loaded[m.Name] < m.Named {
 			able = append(able, e)
 		}
 	}
 	if len(able) == 0 {
 		return FleetEngine{}, false
 	}
-	rank := func(e FleetEngine) int {
-		usable := uint64(e.Loaded[m.Name])+m.Behind >= uint64(m.Named)
-		switch home := f.home(e); {
-		case home == m.Name && !usable:
-			return 0
-		case home == "" && !usable:
-			return 1
-		case home == "":
-			return 2
-		case home == m.Name:
-			return 3
+	// oldest is 0 for every version that can't serve any more.
+	oldest := func(e FleetEngine) rollout.WeightVersion {
+		if m.usable(e.Loaded[m.Name]) {
+			return e.Loaded[m.Name]
 		}
-		return 4
+		return 0
 	}
 	slices.SortFunc(able, func(a, b FleetEngine) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Loaded[m.Name], b.Loaded[m.Name]),
+		return cmp.Or(cmp.Compare(oldest(a), oldest(b)), cmp.Compare(f.serves(a), f.serves(b)),
 			cmp.Compare(affinity(m.Name, a.Name), affinity(m.Name, b.Name)))
 	})
 	return able[0], true
 }
 
+// serves counts the models that an engine has in a version that is neither the
+// one that all began with nor too old.
+func (f *Fleet) serves(e FleetEngine) int {
+	count := 0
+	for _, m := range f.Models {
+		if v := e.version(m.Name); v > firstVersion && m.usable(v) {
+			count++
+		}
+	}
+	return count
+}
+
+// firstVersion is the version that engines have before any is published.
+const firstVersion = 1
+
 // affinity orders engines for a model, the same on every VM.
 func affinity(m rollout.ModelName, s rollout.ServerName) uint64 {
 	return xxh3.HashString(string(m) + "/" + string(s))
