swaps, jobs: take over orders sooner; short waits on the store

Cause: after the giver of orders was cut off, its successor waited for a lease since any order of the other VM, which it had read 2 s late: a read that meets an append is answered only when its wait ends.

--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -108,6 +108,7 @@
 	SwapEnded          = define(751, logrus.InfoLevel, "an engine has loaded a version", "None.")
 	SwapFailed         = define(752, logrus.WarnLevel, "an order was not carried out; it is tried again", "Look at the engine when it goes on.")
 	SwapYielded        = define(753, logrus.InfoLevel, "another VM gives the orders; this one waits", "None.")
+	SwapLead           = define(754, logrus.InfoLevel, "this VM gives the orders from now on, or no longer", "None.")
 	SettingsReloaded   = define(760, logrus.InfoLevel, "the settings were read again", "Settings that need a new start are named in Restart.")
 )
 
--- a/lagoonlink/internal/feed/feed.go
+++ b/lagoonlink/internal/feed/feed.go
@@ -13,9 +13,10 @@
 
 // Numbers of following.
 const (
-	// wait is how long a read waits for a change. A connection that went silent
-	// delays changes by no more than this and the store's reply time.
-	wait = time.Second
+	// wait is how long a read waits for a change. A connection that went silent,
+	// or a store that misses an append which meets the read, delays changes by no
+	// more than this and the store's reply time.
+	wait = 500 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 150 * time.Millisecond
 )
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -40,8 +40,8 @@
 	// the largest trainers.
 	queued = 16384
 	// memberships is how many shortest leases a membership lasts: long enough for
-	// one lost join, short enough to take over from a VM that died.
-	memberships = 2
+	// two lost joins, short enough to take over from a VM that died.
+	memberships = 1.5
 	// notice is how long a stopping VM takes new connections: the balancer asks
 	// once a second and takes a VM out after two refusals.
 	notice = 2500 * time.Millisecond
@@ -119,7 +119,7 @@
 	})
 	g.fleet = fleet.New(fleet.Config{Operator: c.Operator, Servers: c.Servers, InForce: inForce, Dispatch: g.dispatch, Logger: c.Logger})
 	g.owner = ownership.New(ownership.Config{
-		VM: c.VM, Groups: c.Groups, Group: group, Topics: []string{job.TopicIndex}, Lease: memberships * c.MinMembership, Logger: c.Logger,
+		VM: c.VM, Groups: c.Groups, Group: group, Topics: []string{job.TopicIndex}, Lease: time.Duration(memberships * float64(c.MinMembership)), Logger: c.Logger,
 	})
 	g.keeper = jobs.New(jobs.Config{
 		VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, Journal: c.Journal, Engine: c.Engine,
--- a/lagoonlink/internal/jobs/keeper.go
+++ b/lagoonlink/internal/jobs/keeper.go
@@ -20,8 +20,11 @@
 
 // Numbers of following the index.
 const (
-	// followWait is how long a read waits for a record.
-	followWait = 2 * time.Second
+	// followMin and followMax bound how long a read waits for a record: short
+	// after records came, longer while none come. The store may answer a read that
+	// meets an append only when its wait ends.
+	followMin = 60 * time.Millisecond
+	followMax = 500 * time.Millisecond
 	// followBytes bounds one read.
 	followBytes = 1 << 20
 	// spacing is the least time between two reads of a partition that another VM
@@ -88,6 +91,12 @@
 	return k
 }
 
+func (p *partition) next() rollout.Offset {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fold.Next()
+}
+
 func (k *Keeper) of(id string) *partition {
 	return k.partitions[job.PartitionOf(id, len(k.partitions))]
 }
@@ -108,9 +117,13 @@
 
 // follow reads a partition until the context ends.
 func (k *Keeper) follow(ctx context.Context, p *partition) {
-	failing := false
+	failing, wait := false, followMin
 	for ctx.Err() == nil {
-		_, err := k.read(ctx, p, followWait)
+		before := p.next()
+		_, err := k.read(ctx, p, wait)
+		if wait = min(2*wait, followMax); p.next() > before {
+			wait = followMin
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -141,9 +154,7 @@
 
 // read reads records once and folds them. It returns the partition's end.
 func (k *Keeper) read(ctx context.Context, p *partition, wait time.Duration) (rollout.Offset, error) {
-	p.mu.Lock()
-	from := p.fold.Next()
-	p.mu.Unlock()
+	from := p.next()
 	r, err := k.config.Journal.Read(ctx, p.id, from, followBytes, wait)
 	var trimmed *rollout.TrimmedError
 	if errors.As(err, &trimmed) {
@@ -195,10 +206,7 @@
 		if err != nil {
 			return err
 		}
-		p.mu.Lock()
-		done := p.fold.Next() >= end
-		p.mu.Unlock()
-		if done {
+		if p.next() >= end {
 			return nil
 		}
 	}
--- a/lagoonlink/internal/swaps/swaps.go
+++ b/lagoonlink/internal/swaps/swaps.go
@@ -38,8 +38,9 @@
 	askFor   = 6 * time.Second
 	// retryAfter is the pause before an engine that failed is ordered again.
 	retryAfter = 700 * time.Millisecond
-	// readWait is how long a read of the announcements waits.
-	readWait = 2 * time.Second
+	// readWait is how long a read of the announcements waits. The store may answer
+	// a read that meets an append only when its wait ends, so it is short.
+	readWait = 300 * time.Millisecond
 	// readPause is the pause after a failed read.
 	readPause = 200 * time.Millisecond
 	// readBytes bounds one read.
@@ -72,8 +73,10 @@
 	known    bool
 	ordering bool
 	target   rollout.NamedVersion
-	// given is when the newest order was announced.
-	given time.Time
+	// given is when the newest order was announced; foreign is when another VM's
+	// newest was read.
+	given   time.Time
+	foreign time.Time
 	// rest is until when no order is given.
 	rest time.Time
 }
@@ -87,8 +90,6 @@
 	next rollout.Offset
 	// current tells that the announcements were read to their end once.
 	current bool
-	// foreign is when another VM's newest announcement was read.
-	foreign time.Time
 	engines map[rollout.ServerName]*engine
 	group   sync.WaitGroup
 	// kick asks for a decision at once.
@@ -164,11 +165,11 @@
 	}
 	if a.Holder != s.config.VM {
 		s.mu.Lock()
+		g := s.engine(a.Server)
+		g.known = false
 		if !a.Loaded {
-			s.foreign = time.Now()
-		}
-		if g := s.engines[a.Server]; g != nil {
-			g.known = false
+			g.foreign = time.Now()
+			g.target, g.given = rollout.NamedVersion{Model: a.Model, Version: a.Version}, g.foreign
 		}
 		s.mu.Unlock()
 	}
@@ -181,6 +182,7 @@
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	defer s.group.Wait()
+	led := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -189,17 +191,28 @@
 		case <-s.kick:
 		case <-tick.C:
 		}
-		if s.config.Leads() && s.mayGive() {
+		if leads := s.config.Leads(); leads != led {
+			led = leads
+			s.noteLead(leads)
+		}
+		if led && s.mayGive() {
 			s.round(ctx)
 		}
 	}
 }
 
-// mayGive reports whether enough time has passed since another VM's order.
+// noteLead logs that this VM gives the orders from now on, or no longer.
+func (s *Swaps) noteLead(leads bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config.Logger.Write(event.SwapLead, event.Fields{"Leads": leads, "Next": s.next, "Current": s.current})
+}
+
+// mayGive reports whether the announcements were read to their end.
 func (s *Swaps) mayGive() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.current && (s.foreign.IsZero() || time.Since(s.foreign) > s.config.Lease+yieldSlack)
+	return s.current
 }
 
 func (s *Swaps) round(ctx context.Context) {
@@ -226,9 +239,12 @@
 	for name := range pool.Servers {
 		e := weights.FleetEngine{Name: name, Loaded: pool.Loaded[name]}
 		if g := s.engines[name]; g != nil {
-			e.Ordering = g.ordering || now.Before(g.rest)
-			if g.ordering {
-				e.Target, e.Loading = g.target, now.Sub(g.given) < weights.LoadTime
+			// An engine that another VM ordered rests for a lease, so that two VMs
+			// never take turns at it.
+			foreign := !g.foreign.IsZero() && now.Sub(g.foreign) < s.config.Lease+yieldSlack
+			e.Ordering = g.ordering || foreign || now.Before(g.rest)
+			if e.Loading = now.Sub(g.given) < weights.LoadTime; e.Loading || g.ordering {
+				e.Target = g.target
 			}
 		}
 		f.Engines = append(f.Engines, e)
@@ -313,7 +329,7 @@
 		return
 	case rollout.OrderFenced:
 		s.mu.Lock()
-		s.foreign = time.Now()
+		s.engine(server.Name).foreign = time.Now()
 		s.mu.Unlock()
 		s.config.Logger.Write(event.SwapYielded, event.Fields{"Server": server.Name, "Fence": o.Fence})
 		return
