gateway: tests of several VMs over a stand-in store; stop without waiting for ever

Cause: found by the new tests. Change: sends to the dispatcher end with it; a closed group takes no more runs.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := rollout lagoonlink lagoonctl declare lagoonbench deployments
+MODULES := rollout platform lagoonlink lagoonctl declare lagoonbench deployments
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 BIN := bin
 
--- a/lagoonlink/internal/cmd/cmd.go
+++ b/lagoonlink/internal/cmd/cmd.go
@@ -49,7 +49,7 @@
 			{
 				Name:   "platform",
 				Usage:  "run the entry VM on the users' platform, with the settings that it provides",
-				Action: func(context.Context, *cli.Command) error { return serveOnPlatform() },
+				Action: func(ctx context.Context, _ *cli.Command) error { return serveOnPlatform(ctx) },
 			},
 			{
 				Name:  "check",
--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -4,6 +4,7 @@
 import "C" // links the program to the C library, as the platform asks
 
 import (
+	"context"
 	"os"
 	"reflect"
 	"runtime/debug"
@@ -44,7 +45,7 @@
 )
 
 // serveOnPlatform runs an entry VM whose state lies in the platform's store.
-func serveOnPlatform() error {
+func serveOnPlatform(ctx context.Context) error {
 	s, err := settings.Load()
 	if err != nil {
 		return err
@@ -72,7 +73,7 @@
 		},
 		Reload: reloader(s, platformStore),
 		Logger: logger, Sink: sink, Metrics: tally.NoopScope,
-	}).Run()
+	}).Run(ctx)
 }
 
 // reloader returns a function that reads the settings again. A new address of
--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -73,12 +73,12 @@
 // or its caller hears of it.
 func (g *Grant) Done(r Result) {
 	crashed := r.Broken && !g.owner.config.Reachable(g.Server.Address)
-	g.owner.ring <- doneMessage{target: g.target, id: g.id, result: r, crashed: crashed}
+	g.owner.send(doneMessage{target: g.target, id: g.id, result: r, crashed: crashed})
 }
 
 // Saw tells a version that came with the server's tokens.
 func (g *Grant) Saw(m rollout.ModelName, v rollout.WeightVersion) {
-	g.owner.ring <- sawMessage{target: g.target, server: g.Server.Name, model: m, version: v}
+	g.owner.send(sawMessage{target: g.target, server: g.Server.Name, model: m, version: v})
 }
 
 type reply struct {
@@ -129,6 +129,16 @@
 	desks    map[Target]*desk
 	suspects *request.Suspects
 	leaving  map[string]bool
+	// ended is closed when Run returns; nothing answers after it.
+	ended chan struct{}
+}
+
+// send puts a message on the ring, or drops it when the duty has ended.
+func (d *Dispatcher) send(m any) {
+	select {
+	case d.ring <- m:
+	case <-d.ended:
+	}
 }
 
 // flight is granted work.
@@ -159,6 +169,7 @@
 		ring:     make(chan any, c.Ring),
 		desks:    map[Target]*desk{},
 		suspects: request.NewSuspects(),
+		ended:    make(chan struct{}),
 	}
 }
 
@@ -196,12 +207,17 @@
 	select {
 	case r := <-t.reply:
 		return r.grant, r.err
+	case <-t.owner.ended:
+		return nil, rollout.Refuse(rollout.ReasonDraining, "the process stops")
 	case <-ctx.Done():
 	}
-	t.owner.ring <- cancelMessage{target: t.target, id: t.id}
-	r := <-t.reply
-	if r.grant != nil {
-		r.grant.Done(Result{})
+	t.owner.send(cancelMessage{target: t.target, id: t.id})
+	select {
+	case r := <-t.reply:
+		if r.grant != nil {
+			r.grant.Done(Result{})
+		}
+	case <-t.owner.ended:
 	}
 	return nil, canceled(ctx)
 }
@@ -215,16 +231,16 @@
 
 // Reported passes on an engine's load report.
 func (d *Dispatcher) Reported(p rollout.PoolName, s rollout.ServerName, r rollout.LoadReport) {
-	d.ring <- reportMessage{pool: p, server: s, report: r}
+	d.send(reportMessage{pool: p, server: s, report: r})
 }
 
 // Listed passes on the addresses that the platform's list shows as leaving.
-func (d *Dispatcher) Listed(leaving map[string]bool) { d.ring <- listMessage{leaving: leaving} }
+func (d *Dispatcher) Listed(leaving map[string]bool) { d.send(listMessage{leaving: leaving}) }
 
 // Heard passes on suspicions from other VMs.
 func (d *Dispatcher) Heard(rumors []request.Rumor) {
 	if len(rumors) > 0 {
-		d.ring <- rumorMessage{rumors: rumors}
+		d.send(rumorMessage{rumors: rumors})
 	}
 }
 
@@ -260,6 +276,7 @@
 	changes := d.config.InForce.Watch()
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	defer close(d.ended)
 	for {
 		select {
 		case <-ctx.Done():
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -157,10 +157,10 @@
 	}
 }
 
-// Run runs the VM until a signal or a failure.
-func (g *Gateway) Run() error {
+// Run runs the VM until a signal, a failure or the context's end.
+func (g *Gateway) Run(parent context.Context) error {
 	g.config.Logger.Write(event.Started, event.Fields{"VM": g.config.VM, "Zone": g.config.Zone})
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	var all run.Group
 	for name, duty := range map[string]func(context.Context) error{
--- /dev/null
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -0,0 +1,296 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/gateway"
+	"lagoonlink.org/lagoonlink/internal/jobs"
+	"lagoonlink.org/lagoonlink/internal/relay"
+	"lagoonlink.org/lagoonlink/internal/standin"
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/job"
+)
+
+// Sizes of the tests' deployment.
+const (
+	partitions = 4
+	servers    = 5
+	model      = rollout.ModelName("m")
+	// patience bounds every wait of a test.
+	patience = 20 * time.Second
+)
+
+// face stands in for the server that callers connect to.
+type face struct {
+	keeper *jobs.Keeper
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (f *face) Serve(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-f.closed:
+	}
+	return nil
+}
+func (f *face) ServeReady(ctx context.Context) error { return f.Serve(ctx) }
+func (f *face) Active() int                          { return 0 }
+func (f *face) Drain()                               {}
+func (f *face) Shutdown(context.Context) error       { return nil }
+
+func (f *face) Close() error {
+	f.once.Do(func() { close(f.closed) })
+	return nil
+}
+
+// deployment is several entry VMs over one stand-in store.
+type deployment struct {
+	store    *standin.Store
+	operator *standin.Feed[rollout.Declared]
+	servers  *standin.Feed[rollout.RegisteredServer]
+	engines  *standin.Engines
+	faces    map[rollout.VMName]*face
+	stop     map[rollout.VMName]context.CancelFunc
+	// address takes connections, as a server does that fails and does not crash.
+	address string
+	group    sync.WaitGroup
+}
+
+func deploy(t *testing.T, pieces int, pieceTime time.Duration, vms ...rollout.VMName) *deployment {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, "listen", err)
+	d := &deployment{
+		address: listener.Addr().String(),
+		store: standin.NewStore(partitions), operator: standin.NewFeed[rollout.Declared](),
+		servers: standin.NewFeed[rollout.RegisteredServer](), engines: standin.NewEngines(model, pieces, pieceTime),
+		faces: map[rollout.VMName]*face{}, stop: map[rollout.VMName]context.CancelFunc{},
+	}
+	d.operator.Put(rollout.Change[rollout.Declared]{Key: "config", Value: rollout.Declared{Table: &rollout.RouteTable{
+		Version:  1,
+		Routes:   []rollout.Route{{Name: "r", Host: "a.example", Prefix: "/p/", Kind: rollout.RouteJobs, Splits: []rollout.Split{{Service: "pool"}}, MaxAttempts: 3}},
+		Services: []rollout.RoutedService{{Name: "pool", Models: []rollout.ModelName{model}, Slots: 4}},
+	}}})
+	for n := range servers {
+		d.register(n, 1)
+	}
+	for _, vm := range vms {
+		d.start(vm)
+	}
+	t.Cleanup(func() {
+		for _, stop := range d.stop {
+			stop()
+		}
+		d.group.Wait()
+		assert.NoError(t, "close the listener", listener.Close())
+	})
+	return d
+}
+
+func (d *deployment) register(n int, v rollout.WeightVersion) {
+	name := fmt.Sprintf("s%d", n)
+	d.servers.Put(rollout.Change[rollout.RegisteredServer]{Key: name, Value: rollout.RegisteredServer{
+		Name: rollout.ServerName(name), Service: "pool", Address: d.address, Slots: 4,
+		Versions: map[rollout.ModelName]rollout.WeightVersion{model: v},
+	}})
+}
+
+func (d *deployment) start(vm rollout.VMName) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	logger := event.NewLogger(log)
+	access := d.store.Of(vm)
+	f := &face{closed: make(chan struct{})}
+	g := gateway.New(gateway.Config{
+		VM: vm, Zone: "z", Partitions: partitions, RecordBytes: 1 << 16, CallBytes: 1 << 20,
+		Grace: 2 * time.Second, OrderLease: 200 * time.Millisecond, ChecksFence: true, MinMembership: 200 * time.Millisecond,
+		Journal: access, Groups: access, Operator: d.operator, Servers: d.servers, Engine: d.engines, Control: d.engines,
+		Front: func(_ *relay.Relay, k *jobs.Keeper, _ func() bool) gateway.Front {
+			f.keeper = k
+			return f
+		},
+		Reload: func() ([]string, []string, error) { return nil, nil, nil },
+		Logger: logger, Sink: event.NewSink(io.Discard), Metrics: tally.NoopScope,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	d.faces[vm], d.stop[vm] = f, cancel
+	d.group.Go(func() { _ = g.Run(ctx) })
+}
+
+// kill ends a VM as a loss of power does: nothing is told to anyone.
+func (d *deployment) kill(vm rollout.VMName) {
+	d.stop[vm]()
+	d.store.Remove(vm)
+}
+
+func newJob(id string, samples int, min rollout.WeightVersion) job.Submission {
+	s := job.Submission{ID: id, Host: "a.example", Model: model, MinVersion: min, At: time.Now(), Retention: time.Minute}
+	for i := range samples {
+		s.Samples = append(s.Samples, job.Sample{ID: fmt.Sprintf("%s-%d", id, i), Group: fmt.Sprint(i / 4), Path: "/p/x", Body: []byte(fmt.Sprint(id, i))})
+	}
+	return s
+}
+
+// whole reads a job at a VM until it is complete, and checks each result.
+func (d *deployment) whole(t *testing.T, vm rollout.VMName, s job.Submission) []job.Listed {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var all []job.Listed
+	for len(all) < len(s.Samples) {
+		r, err := d.faces[vm].keeper.Results(ctx, s.ID, len(all), 200*time.Millisecond)
+		if err != nil && rollout.FailureOf(err).Reason == rollout.ReasonLogUnavailable {
+			continue
+		}
+		assert.NoError(t, "read results", err)
+		assert.Equal(t, "total", r.Total, len(s.Samples))
+		all = append(all, r.Results...)
+	}
+	seen := map[string]bool{}
+	for _, l := range all {
+		assert.True(t, l.Sample+" stands once", !seen[l.Sample])
+		seen[l.Sample] = true
+		assert.Equal(t, "outcome", l.Outcome, job.Done)
+		assert.Equal(t, "text", string(l.Text), d.engines.Text(l.Sample))
+		for _, v := range l.Versions {
+			assert.True(t, "fresh version", v >= s.MinVersion)
+		}
+		assert.True(t, "labelled", len(l.Versions) > 0)
+	}
+	return all
+}
+
+func (d *deployment) submit(t *testing.T, vm rollout.VMName, s job.Submission) {
+	t.Helper()
+	assert.NoError(t, "submit", d.faces[vm].keeper.Submit(context.Background(), s))
+}
+
+func TestJobIsWholeAtEveryVM(t *testing.T) {
+	d := deploy(t, 4, time.Millisecond, "a", "b", "c")
+	s := newJob("j1", 20, 1)
+	d.submit(t, "a", s)
+	d.submit(t, "b", s)
+	first := d.whole(t, "a", s)
+	for _, vm := range []rollout.VMName{"b", "c"} {
+		assert.Equal(t, "results at "+string(vm), d.whole(t, vm, s), first)
+	}
+	body, err := d.faces["c"].keeper.Body(context.Background(), "j1", "j1-7")
+	assert.NoError(t, "body", err)
+	assert.Equal(t, "body", string(body), "j17")
+	_, err = d.faces["c"].keeper.Results(context.Background(), "unknown", 0, 0)
+	assert.ErrorHas(t, "unknown job", err, "StepUnknown")
+}
+
+func TestOwnerIsLost(t *testing.T) {
+	d := deploy(t, 120, 5*time.Millisecond, "a", "b", "c")
+	var all []job.Submission
+	for n := range partitions * 2 {
+		all = append(all, newJob(fmt.Sprint("lost", n), 6, 1))
+		d.submit(t, "a", all[n])
+	}
+	time.Sleep(300 * time.Millisecond)
+	d.kill("a")
+	d.kill("b")
+	for _, s := range all {
+		d.whole(t, "c", s)
+	}
+}
+
+func TestAllVMsAreLost(t *testing.T) {
+	d := deploy(t, 100, 5*time.Millisecond, "a", "b")
+	s := newJob("power", 12, 1)
+	d.submit(t, "a", s)
+	time.Sleep(450 * time.Millisecond)
+	d.kill("a")
+	d.kill("b")
+	d.start("n")
+	d.whole(t, "n", s)
+}
+
+func TestStoreLosesReplies(t *testing.T) {
+	d := deploy(t, 3, time.Millisecond, "a", "b")
+	s := newJob("replies", 10, 1)
+	d.store.LoseReplies(2)
+	d.submit(t, "a", s)
+	d.store.LoseReplies(3)
+	first := d.whole(t, "a", s)
+	assert.Equal(t, "results at the other VM", d.whole(t, "b", s), first)
+}
+
+func TestStoreIsAway(t *testing.T) {
+	d := deploy(t, 30, 5*time.Millisecond, "a", "b")
+	s := newJob("away", 8, 1)
+	d.submit(t, "a", s)
+	d.store.Down("a", true)
+	d.store.Down("b", true)
+	err := d.faces["a"].keeper.Submit(context.Background(), newJob("refused", 2, 1))
+	assert.Equal(t, "verdict of a refused job", rollout.VerdictOf(err), rollout.NotRun)
+	_, err = d.faces["b"].keeper.Results(context.Background(), "refused", 0, 0)
+	assert.Equal(t, "an unsure VM does not deny", rollout.FailureOf(err).Reason, rollout.ReasonLogUnavailable)
+	time.Sleep(300 * time.Millisecond)
+	d.store.Down("a", false)
+	d.store.Down("b", false)
+	d.whole(t, "b", s)
+}
+
+func TestUncertainSubmissionIsNotRefused(t *testing.T) {
+	d := deploy(t, 3, time.Millisecond, "a")
+	d.store.LoseReplies(100)
+	err := d.faces["a"].keeper.Submit(context.Background(), newJob("maybe", 2, 1))
+	assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.MayHaveRun)
+}
+
+func TestEndedJobIsNotRun(t *testing.T) {
+	d := deploy(t, 2000, 5*time.Millisecond, "a", "b")
+	s := newJob("ended", 4, 1)
+	d.submit(t, "a", s)
+	time.Sleep(200 * time.Millisecond)
+	assert.NoError(t, "end", d.faces["b"].keeper.End(context.Background(), "ended"))
+	assert.NoError(t, "end again", d.faces["a"].keeper.End(context.Background(), "ended"))
+	time.Sleep(300 * time.Millisecond)
+	runs := d.engines.Runs("ended-0")
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, "runs after the end", d.engines.Runs("ended-0"), runs)
+}
+
+func TestServerFails(t *testing.T) {
+	d := deploy(t, 10, time.Millisecond, "a")
+	broken := rollout.Fail(rollout.MayHaveRun, rollout.ReasonTruncated, io.ErrUnexpectedEOF)
+	d.engines.Fail("s0", broken)
+	d.engines.Fail("s1", broken)
+	s := newJob("broken", 12, 1)
+	d.submit(t, "a", s)
+	d.whole(t, "a", s)
+}
+
+func TestVersionsReachEngines(t *testing.T) {
+	d := deploy(t, 5, time.Millisecond, "a", "b")
+	for v := rollout.WeightVersion(2); v <= 4; v++ {
+		d.operator.Put(rollout.Change[rollout.Declared]{Key: "version/m", Value: rollout.Declared{Named: &rollout.NamedVersion{Model: model, Version: v}}})
+		s := newJob(fmt.Sprint("step", v), 8, v-1)
+		d.submit(t, "b", s)
+		d.whole(t, "a", s)
+		if v == 3 {
+			d.kill("a")
+			d.start("a2")
+			d.faces["a"] = d.faces["a2"]
+		}
+	}
+	fence := map[uint64]bool{}
+	for _, o := range d.engines.Orders() {
+		assert.True(t, "each order has a token of its own", !fence[o.Fence])
+		fence[o.Fence] = true
+	}
+}
--- a/lagoonlink/internal/jobs/keeper.go
+++ b/lagoonlink/internal/jobs/keeper.go
@@ -20,11 +20,11 @@
 
 // Numbers of following the index.
 const (
-	// followMin and followMax bound how long a read waits for a record: short
+	// followShort and followLong bound how long a read waits for a record: short
 	// after records came, longer while none come. The store may answer a read that
 	// meets an append only when its wait ends.
-	followMin = 60 * time.Millisecond
-	followMax = 500 * time.Millisecond
+	followShort = 60 * time.Millisecond
+	followLong = 500 * time.Millisecond
 	// followBytes bounds one read.
 	followBytes = 1 << 20
 	// spacing is the least time between two reads of a partition that another VM
@@ -117,12 +117,12 @@
 
 // follow reads a partition until the context ends.
 func (k *Keeper) follow(ctx context.Context, p *partition) {
-	failing, wait := false, followMin
+	failing, wait := false, followShort
 	for ctx.Err() == nil {
 		before := p.next()
 		_, err := k.read(ctx, p, wait)
-		if wait = min(2*wait, followMax); p.next() > before {
-			wait = followMin
+		if wait = min(2*wait, followLong); p.next() > before {
+			wait = followShort
 		}
 		if ctx.Err() != nil {
 			return
--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -101,6 +101,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			r.mu.Lock()
+			r.closed = true
+			r.mu.Unlock()
 			r.group.Wait()
 			return
 		case <-changes:
@@ -121,12 +124,25 @@
 	}
 	r.mu.Unlock()
 	for n, p := range k.partitions {
-		if k.owns(n) {
+		if k.owns(n) && r.enter() {
 			r.group.Go(func() { r.adopt(ctx, n, p) })
+			r.group.Done()
 		}
 	}
 }
 
+// enter holds the group of runs open until group.Done, unless it is closed:
+// nothing may join it once its end is awaited.
+func (r *runner) enter() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || r.ctx == nil {
+		return false
+	}
+	r.group.Add(1)
+	return true
+}
+
 // adopt starts the open jobs of a partition. It first reads on to the end, for
 // another VM may have listed results meanwhile.
 func (r *runner) adopt(ctx context.Context, number int, p *partition) {
@@ -216,6 +232,10 @@
 
 // start runs a job's samples that have no result yet.
 func (r *runner) start(number int, s *job.Submission) {
+	if !r.enter() {
+		return
+	}
+	defer r.group.Done()
 	k := r.keeper
 	p := k.partitions[number]
 	p.mu.Lock()
@@ -227,7 +247,7 @@
 	order := job.Order(s, func(i int) bool { return j.Position(i) >= 0 }, func(string) (int, bool) { return 0, false })
 	p.mu.Unlock()
 	r.mu.Lock()
-	if r.closed || r.ctx == nil || r.runs[s.ID] != nil {
+	if r.runs[s.ID] != nil {
 		r.mu.Unlock()
 		return
 	}
--- a/lagoonlink/internal/jobs/texts.go
+++ b/lagoonlink/internal/jobs/texts.go
@@ -119,16 +119,22 @@
 	// pending counts what was put and not yet appended.
 	pending sync.WaitGroup
 	failing bool
+	// stopped is closed when run returns.
+	stopped chan struct{}
 }
 
 func newWriter(c Config, number int) *writer {
-	return &writer{config: c, number: number, ring: make(chan ended, writeRing)}
+	return &writer{config: c, number: number, ring: make(chan ended, writeRing), stopped: make(chan struct{})}
 }
 
-// put queues a sample's end. It blocks while the ring is full.
+// put queues a sample's end. It waits while the ring is full and the writer runs.
 func (w *writer) put(e ended) {
 	w.pending.Add(1)
-	w.ring <- e
+	select {
+	case w.ring <- e:
+	case <-w.stopped:
+		w.pending.Done()
+	}
 }
 
 // offer queues a fragment unless the ring is half full.
@@ -139,6 +145,7 @@
 }
 
 func (w *writer) run(ctx context.Context) {
+	defer close(w.stopped)
 	for {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/lagoonlink/internal/standin/feed.go
@@ -0,0 +1,92 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lagoonlink.org/rollout"
+)
+
+// Feed is a topic that keeps the newest value of each key.
+type Feed[T any] struct {
+	mu      sync.Mutex
+	changes []rollout.Change[T]
+	first   int
+	down    bool
+	changed chan struct{}
+}
+
+// NewFeed returns an empty feed.
+func NewFeed[T any]() *Feed[T] { return &Feed[T]{changed: make(chan struct{})} }
+
+// Put publishes changes.
+func (f *Feed[T]) Put(changes ...rollout.Change[T]) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changes = append(f.changes, changes...)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Forget drops the history, so that only a snapshot tells the newest values.
+func (f *Feed[T]) Forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.first = len(f.changes)
+}
+
+// Down makes the feed unreachable, or reachable again.
+func (f *Feed[T]) Down(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Snapshot implements rollout.Feed.
+func (f *Feed[T]) Snapshot(context.Context) ([]rollout.Change[T], rollout.Offset, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, 0, rollout.Refuse(rollout.ReasonLogUnavailable, "the store is down")
+	}
+	newest := map[string]int{}
+	for i, c := range f.changes {
+		newest[c.Key] = i
+	}
+	var out []rollout.Change[T]
+	for i, c := range f.changes {
+		if newest[c.Key] == i && !c.Dropped {
+			out = append(out, c)
+		}
+	}
+	return out, rollout.Offset(len(f.changes)), nil
+}
+
+// Since implements rollout.Feed.
+func (f *Feed[T]) Since(ctx context.Context, from rollout.Offset, wait time.Duration) ([]rollout.Change[T], rollout.Offset, error) {
+	timeout := time.After(wait)
+	for {
+		f.mu.Lock()
+		down, first, changed := f.down, f.first, f.changed
+		out := append([]rollout.Change[T](nil), f.changes[min(int(from), len(f.changes)):]...)
+		f.mu.Unlock()
+		switch {
+		case down:
+			return nil, from, rollout.Refuse(rollout.ReasonLogUnavailable, "the store is down")
+		case int(from) < first:
+			return nil, from, &rollout.TrimmedError{First: rollout.Offset(first)}
+		case len(out) > 0:
+			return out, from + rollout.Offset(len(out)), nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return nil, from, nil
+		case <-ctx.Done():
+			return nil, from, rollout.Fail(rollout.NotRun, rollout.ReasonCanceled, ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/rollout/job/fold_test.go
@@ -0,0 +1,236 @@
+package job_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/job"
+)
+
+func init() { assert.FixSeed() }
+
+// epoch is the time of acceptance of the tests' jobs.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func submission(id string, samples int) *job.Submission {
+	s := &job.Submission{ID: id, Host: "a.example", Model: "m", MinVersion: 1, At: epoch, Retention: time.Minute}
+	for i := range samples {
+		s.Samples = append(s.Samples, job.Sample{ID: fmt.Sprintf("%s-%d", id, i), Group: "g", Path: "/p/", Body: []byte{byte(i)}})
+	}
+	return s
+}
+
+// apply encodes, decodes and folds records from an offset on.
+func apply(t testing.TB, f *job.Fold, from rollout.Offset, records ...job.Record) []job.Event {
+	t.Helper()
+	var events []job.Event
+	for _, r := range records {
+		parts, err := job.Encode(r, 1<<20)
+		assert.NoError(t, "encode", err)
+		for _, data := range parts {
+			decoded, err := job.Decode(data)
+			assert.NoError(t, "decode", err)
+			if e, changed := f.Apply(from, len(data), decoded); changed {
+				events = append(events, e)
+			}
+			from++
+		}
+	}
+	return events
+}
+
+func result(id string, index int, offset rollout.Offset) job.Record {
+	return job.Record{Result: &job.Result{Job: id, Index: index, Versions: []rollout.WeightVersion{1}, Text: job.Place{Offset: offset, Records: 1}}}
+}
+
+func TestFirstRecordCounts(t *testing.T) {
+	t.Run("a job is accepted once", func(t *testing.T) {
+		f := job.NewFold()
+		events := apply(t, f, 0, job.Record{Submission: submission("a", 2)}, job.Record{Submission: submission("a", 3)})
+		assert.Equal(t, "events", len(events), 1)
+		j, _ := f.Job("a")
+		assert.Equal(t, "samples", j.Total, 2)
+	})
+	t.Run("a sample has one result", func(t *testing.T) {
+		f := job.NewFold()
+		apply(t, f, 0, job.Record{Submission: submission("a", 2)}, result("a", 1, 10), result("a", 1, 20), result("a", 0, 30))
+		j, _ := f.Job("a")
+		assert.Equal(t, "listed", len(j.Listed), 2)
+		assert.Equal(t, "first position", j.Listed[0].Text.Offset, 10)
+		assert.Equal(t, "position of sample 0", j.Position(0), 1)
+		assert.True(t, "complete", j.Complete())
+	})
+	t.Run("results without a job or a sample change nothing", func(t *testing.T) {
+		f := job.NewFold()
+		events := apply(t, f, 0, result("b", 0, 1), job.Record{Submission: submission("a", 1)}, result("a", 1, 1), result("a", -1, 1))
+		assert.Equal(t, "events", len(events), 1)
+	})
+	t.Run("a job ends once and may still get results", func(t *testing.T) {
+		f := job.NewFold()
+		end := job.Record{End: &job.End{Job: "a"}}
+		events := apply(t, f, 0, job.Record{Submission: submission("a", 1)}, end, end, result("a", 0, 1))
+		assert.Equal(t, "events", len(events), 3)
+	})
+	t.Run("records that were read before change nothing", func(t *testing.T) {
+		f := job.NewFold()
+		apply(t, f, 0, job.Record{Submission: submission("a", 2)}, result("a", 0, 1))
+		assert.Equal(t, "events", len(apply(t, f, 0, job.Record{Submission: submission("a", 2)}, result("a", 1, 1))), 0)
+	})
+}
+
+// TestPositionsNeverChange folds random logs with repeated records on two VMs,
+// one of which reads in small pieces and restarts.
+func TestPositionsNeverChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []job.Record
+		for range rapid.IntRange(1, 60).Draw(t, "records") {
+			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "job")
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				log = append(log, job.Record{Submission: submission(id, 4)})
+			case 1:
+				log = append(log, job.Record{End: &job.End{Job: id}})
+			default:
+				log = append(log, result(id, rapid.IntRange(0, 3).Draw(t, "index"), rollout.Offset(len(log))))
+			}
+		}
+		first, second := job.NewFold(), job.NewFold()
+		seen := map[string][]job.Result{}
+		for at, r := range log {
+			first.Apply(rollout.Offset(at), 1, r)
+			for _, j := range first.Jobs() {
+				before := seen[j.ID]
+				if len(j.Listed) < len(before) {
+					t.Fatalf("job %s: got %d results, want at least %d", j.ID, len(j.Listed), len(before))
+				}
+				same(t, "positions", j.Listed[:len(before)], before)
+				seen[j.ID] = append([]job.Result(nil), j.Listed...)
+			}
+		}
+		for at := 0; at < len(log); at++ {
+			second.Apply(rollout.Offset(at), 1, log[at])
+			if rapid.Bool().Draw(t, "read again") {
+				at = max(-1, at-rapid.IntRange(0, 3).Draw(t, "back"))
+				for back := at + 1; back >= 0 && back < len(log) && rollout.Offset(back) < second.Next(); back++ {
+					second.Apply(rollout.Offset(back), 1, log[back])
+					at = back
+				}
+			}
+		}
+		for _, j := range first.Jobs() {
+			other, ok := second.Job(j.ID)
+			if !ok {
+				t.Fatalf("job %s: got none on the second VM", j.ID)
+			}
+			same(t, "results of "+j.ID, other.Listed, j.Listed)
+		}
+	})
+}
+
+// same fails the history unless two lists of results are the same.
+func same(t *rapid.T, what string, got, want []job.Result) {
+	if len(got) != len(want) || (len(got) > 0 && !reflect.DeepEqual(got, want)) {
+		t.Fatalf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+func TestLargeSubmission(t *testing.T) {
+	s := submission("a", 40)
+	for i := range s.Samples {
+		s.Samples[i].Body = make([]byte, 1000)
+	}
+	parts, err := job.Encode(job.Record{Submission: s}, 4096)
+	assert.NoError(t, "encode", err)
+	assert.True(t, "several records", len(parts) > 5)
+	fold := func(parts [][]byte) (*job.Fold, int) {
+		f, events := job.NewFold(), 0
+		for i, data := range parts {
+			assert.AtMost(t, "bytes of a record", len(data), 4096)
+			r, err := job.Decode(data)
+			assert.NoError(t, "decode", err)
+			if e, ok := f.Apply(rollout.Offset(i), len(data), r); ok && e.Submission != nil {
+				events++
+				assert.Equal(t, "submission", e.Submission.Samples[39].Body, s.Samples[39].Body)
+			}
+		}
+		return f, events
+	}
+	t.Run("whole", func(t *testing.T) {
+		f, events := fold(parts)
+		assert.Equal(t, "submissions", events, 1)
+		j, _ := f.Job("a")
+		assert.Equal(t, "records", j.Place.Records, len(parts))
+		assert.Equal(t, "first record", j.Place.Offset, 0)
+	})
+	t.Run("twice", func(t *testing.T) {
+		_, events := fold(append(append([][]byte(nil), parts...), parts...))
+		assert.Equal(t, "submissions", events, 1)
+	})
+	t.Run("without its first record", func(t *testing.T) {
+		_, events := fold(parts[1:])
+		assert.Equal(t, "submissions", events, 0)
+	})
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	both, err := job.Encode(job.Record{End: &job.End{Job: "a"}, Result: &job.Result{Job: "a"}}, 1<<20)
+	assert.NoError(t, "encode", err)
+	for name, c := range map[string]struct {
+		data []byte
+		part string
+	}{
+		"not CBOR":     {[]byte("{"), "decode"},
+		"other schema": {[]byte{0xa1, 0x66, 'S', 'c', 'h', 'e', 'm', 'a', 9}, "schema 9"},
+		"two parts":    {both[0], "2 parts"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := job.Decode(c.data)
+			assert.ErrorHas(t, "decode", err, c.part)
+		})
+	}
+}
+
+func TestFragments(t *testing.T) {
+	fragment := func(pieces int) job.Record {
+		return job.Record{Fragment: &job.Fragment{Sample: "a-0", Pieces: pieces, Versions: []rollout.WeightVersion{2}}}
+	}
+	f := job.NewFold()
+	apply(t, f, 0, job.Record{Submission: submission("a", 1)}, fragment(5), fragment(9), fragment(7))
+	g, ok := f.Fragment("a-0")
+	assert.True(t, "known", ok)
+	assert.Equal(t, "longest", g.Pieces, 9)
+	apply(t, f, f.Next(), result("a", 0, 1))
+	_, ok = f.Fragment("a-0")
+	assert.True(t, "dropped with the result", !ok)
+}
+
+func TestForget(t *testing.T) {
+	f := job.NewFold()
+	young := submission("b", 1)
+	young.At = epoch.Add(time.Hour)
+	apply(t, f, 0, job.Record{Submission: submission("a", 1)}, job.Record{Submission: young})
+	f.Forget(epoch.Add(time.Minute))
+	_, old := f.Job("a")
+	_, kept := f.Job("b")
+	assert.True(t, "the old job is forgotten", !old)
+	assert.True(t, "the young job is kept", kept)
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, r := range []job.Record{{Submission: submission("a", 1)}, result("a", 0, 1), {End: &job.End{Job: "a"}}} {
+		parts, err := job.Encode(r, 1<<20)
+		assert.NoError(f, "encode", err)
+		f.Add(parts[0])
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if r, err := job.Decode(data); err == nil {
+			job.NewFold().Apply(0, len(data), r)
+		}
+	})
+}
--- /dev/null
+++ b/rollout/job/progress_test.go
@@ -0,0 +1,100 @@
+package job_test
+
+import (
+	"testing"
+	"time"
+
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/job"
+)
+
+func piece(text string, v rollout.WeightVersion) rollout.Piece {
+	return rollout.Piece{Text: text, Tokens: 1, Version: v}
+}
+
+func TestProgress(t *testing.T) {
+	t.Run("names every version that generated a piece", func(t *testing.T) {
+		p := job.NewProgress(job.Terms{MinVersion: 2})
+		for _, x := range []rollout.Piece{piece("a", 3), piece("b", 2), piece("c", 3)} {
+			assert.Equal(t, "verdict", p.Add(x), job.Keep)
+		}
+		assert.Equal(t, "text", string(p.Text()), "a\nb\nc")
+		assert.Equal(t, "versions", p.Versions(), []rollout.WeightVersion{2, 3})
+	})
+	t.Run("refuses a version that is too old or unknown, and keeps its text", func(t *testing.T) {
+		p := job.NewProgress(job.Terms{MinVersion: 2})
+		p.Add(piece("a", 2))
+		assert.Equal(t, "old", p.Add(piece("b", 1)), job.Stale)
+		assert.Equal(t, "unknown", p.Add(piece("b", 0)), job.Stale)
+		assert.Equal(t, "pieces", p.Pieces(), 1)
+	})
+	t.Run("starts again when one version must generate all", func(t *testing.T) {
+		p := job.NewProgress(job.Terms{MinVersion: 1, SingleVersion: true})
+		p.Add(piece("a", 1))
+		assert.Equal(t, "verdict", p.Add(piece("b", 2)), job.Restart)
+		assert.Equal(t, "pieces", p.Pieces(), 0)
+		assert.Equal(t, "then", p.Add(piece("b", 2)), job.Keep)
+	})
+	t.Run("is given up after so many failures", func(t *testing.T) {
+		p := job.NewProgress(job.Terms{MaxFailures: 3})
+		assert.Equal(t, "failures", []bool{p.Failed(), p.Failed(), p.Failed()}, []bool{false, false, true})
+	})
+	for name, c := range map[string]struct {
+		terms    job.Terms
+		versions []rollout.WeightVersion
+		want     bool
+	}{
+		"fresh":                {job.Terms{MinVersion: 2}, []rollout.WeightVersion{2, 3}, true},
+		"too old":              {job.Terms{MinVersion: 3}, []rollout.WeightVersion{2, 3}, false},
+		"two where one is due": {job.Terms{MinVersion: 2, SingleVersion: true}, []rollout.WeightVersion{2, 3}, false},
+		"without a version":    {job.Terms{}, nil, false},
+	} {
+		t.Run("resumes a text that is "+name, func(t *testing.T) {
+			p := job.NewProgress(c.terms)
+			got := p.Resume(job.Fragment{Pieces: 2, Versions: c.versions}, []byte("a\nb"))
+			assert.Equal(t, "resumed", got, c.want)
+			p.Add(piece("c", 3))
+			want := "c"
+			if c.want {
+				want = "a\nb\nc"
+			}
+			assert.Equal(t, "text", string(p.Text()), want)
+		})
+	}
+}
+
+func TestPace(t *testing.T) {
+	var p job.Pace
+	assert.True(t, "nothing is slow before anything is known", !p.Slow(100, time.Hour))
+	for range 20 {
+		p.Observe(40 * time.Millisecond)
+	}
+	for range 5 {
+		p.Observe(140 * time.Millisecond)
+	}
+	assert.True(t, "three times as long is slow, though some runs were", p.Slow(10, 1400*time.Millisecond))
+	assert.True(t, "the typical pace is not", !p.Slow(10, 450*time.Millisecond))
+	assert.True(t, "a few pieces do not tell", !p.Slow(4, time.Minute))
+}
+
+func TestOrder(t *testing.T) {
+	s := submission("a", 5)
+	for i, n := range []int{100, 0, 900, 300, 200} {
+		s.Samples[i].Length = n
+		s.Samples[i].MaxTokens = 2000
+	}
+	none := func(string) (int, bool) { return 0, false }
+	t.Run("the longest first, unknown ones as typical", func(t *testing.T) {
+		got := job.Order(s, func(int) bool { return false }, none)
+		assert.Equal(t, "order", got, []int{2, 1, 3, 4, 0})
+	})
+	t.Run("without those that have a result", func(t *testing.T) {
+		got := job.Order(s, func(i int) bool { return i == 2 }, none)
+		assert.Equal(t, "order", got, []int{1, 3, 4, 0})
+	})
+	t.Run("a sample that was broken off is long", func(t *testing.T) {
+		got := job.Order(s, func(int) bool { return false }, func(id string) (int, bool) { return 3, id == "a-0" })
+		assert.Equal(t, "first", got[0], 0)
+	})
+}
--- /dev/null
+++ b/rollout/weights/rotation_test.go
@@ -0,0 +1,158 @@
+package weights_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/weights"
+)
+
+func fleet(engines, models int, behind uint64) weights.Fleet {
+	var f weights.Fleet
+	for m := range models {
+		f.Models = append(f.Models, weights.FleetModel{Name: rollout.ModelName(fmt.Sprintf("m%d", m)), Named: 1, Behind: behind})
+	}
+	for e := range engines {
+		loaded := map[rollout.ModelName]rollout.WeightVersion{}
+		for _, m := range f.Models {
+			loaded[m.Name] = 1
+		}
+		f.Engines = append(f.Engines, weights.FleetEngine{Name: rollout.ServerName(fmt.Sprintf("e%02d", e)), Loaded: loaded})
+	}
+	return f
+}
+
+// settle carries out orders until there are none, and returns them.
+func settle(t *testing.T, f *weights.Fleet) []weights.Swap {
+	t.Helper()
+	var all []weights.Swap
+	for range 100 {
+		swaps := weights.Rotate(*f)
+		if len(swaps) == 0 {
+			return all
+		}
+		all = append(all, swaps...)
+		for _, s := range swaps {
+			for i := range f.Engines {
+				if f.Engines[i].Name == s.Server {
+					f.Engines[i].Loaded[s.Model] = s.Version
+				}
+			}
+		}
+	}
+	t.Fatalf("orders: got more after 100 rounds, want an end")
+	return nil
+}
+
+func usable(f weights.Fleet, m weights.FleetModel) int {
+	count := 0
+	for _, e := range f.Engines {
+		if uint64(e.Loaded[m.Name])+m.Behind >= uint64(m.Named) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestRotateServesEveryVersion plays trainers that publish in turn, and checks
+// that each version costs no more loads than the model's share of the engines,
+// that there are always engines to serve it, and that no engine that can serve a
+// model is interrupted while another can't.
+func TestRotateServesEveryVersion(t *testing.T) {
+	for _, c := range []struct {
+		engines, models int
+		behind          uint64
+	}{{12, 3, 1}, {11, 2, 1}, {44, 3, 1}, {12, 3, 0}, {5, 1, 2}, {2, 3, 1}} {
+		t.Run(fmt.Sprintf("%d engines, %d models, %d behind", c.engines, c.models, c.behind), func(t *testing.T) {
+			f := fleet(c.engines, c.models, c.behind)
+			share := max(1, c.engines/c.models)
+			for v := rollout.WeightVersion(2); v < 12; v++ {
+				for m := range f.Models {
+					f.Models[m].Named = v
+					f.Models[m].Behind = min(c.behind, uint64(v)-1)
+					before := usable(f, f.Models[m])
+					swaps := settle(t, &f)
+					assert.AtMost(t, "loads of a version", len(swaps), share)
+					assert.True(t, "share served", usable(f, f.Models[m]) >= share)
+					if c.engines > 2*share && before > 0 {
+						assert.True(t, "none that served was interrupted", usable(f, f.Models[m]) >= before)
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestRotateBounds(t *testing.T) {
+	t.Run("no more loads at a time than a fifth", func(t *testing.T) {
+		f := fleet(20, 2, 0)
+		f.Models[0].Named, f.Models[1].Named = 2, 2
+		assert.Equal(t, "orders", len(weights.Rotate(f)), 4)
+		f.Engines[0].Ordering, f.Engines[0].Loading = true, true
+		assert.Equal(t, "beside one that loads", len(weights.Rotate(f)), 3)
+	})
+	t.Run("an engine with an order on its way gets no other", func(t *testing.T) {
+		f := fleet(1, 1, 0)
+		f.Models[0].Named = 2
+		f.Engines[0].Ordering = true
+		assert.Equal(t, "orders", len(weights.Rotate(f)), 0)
+	})
+	t.Run("the model without a usable engine goes first", func(t *testing.T) {
+		f := fleet(5, 2, 1)
+		f.Models[0].Named, f.Models[1].Named = 2, 5
+		assert.Equal(t, "model", weights.Rotate(f)[0].Model, "m1")
+	})
+	t.Run("nothing without models or engines", func(t *testing.T) {
+		assert.Equal(t, "orders", len(weights.Rotate(weights.Fleet{})), 0)
+	})
+}
+
+func TestKnown(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	fresh := func() *weights.Known {
+		k := weights.NewKnown()
+		k.Listed(rollout.RegisteredServer{Name: "e", Incarnation: 1, Versions: map[rollout.ModelName]rollout.WeightVersion{"m": 1, "n": 4}})
+		k.Given(at, "e", rollout.NamedVersion{Model: "m", Version: 2})
+		return k
+	}
+	version := func(k *weights.Known, after time.Duration) rollout.WeightVersion { return k.Loaded(at.Add(after), "e")["m"] }
+	t.Run("a model is left out while it loads, and others not", func(t *testing.T) {
+		assert.Equal(t, "loading", version(fresh(), 500*time.Millisecond), 0)
+		assert.Equal(t, "other model", fresh().Loaded(at, "e")["n"], 4)
+	})
+	t.Run("its new version counts after the time of a load", func(t *testing.T) {
+		assert.Equal(t, "version", version(fresh(), 1100*time.Millisecond), 2)
+	})
+	t.Run("until nothing has confirmed it for long", func(t *testing.T) {
+		assert.Equal(t, "version", version(fresh(), 5*time.Second), 1)
+	})
+	t.Run("or an answer contradicts it", func(t *testing.T) {
+		k := fresh()
+		k.Saw(at.Add(1200*time.Millisecond), "e", "m", 1)
+		assert.Equal(t, "version", version(k, 1300*time.Millisecond), 1)
+	})
+	t.Run("an entry that lags changes nothing", func(t *testing.T) {
+		k := fresh()
+		k.Saw(at.Add(time.Second), "e", "m", 2)
+		k.Listed(rollout.RegisteredServer{Name: "e", Incarnation: 1, Versions: map[rollout.ModelName]rollout.WeightVersion{"m": 1}})
+		assert.Equal(t, "version", version(k, 2*time.Second), 2)
+	})
+	t.Run("a new incarnation knows nothing of before", func(t *testing.T) {
+		k := fresh()
+		k.Listed(rollout.RegisteredServer{Name: "e", Incarnation: 2, Versions: map[rollout.ModelName]rollout.WeightVersion{"m": 1}})
+		assert.Equal(t, "version", version(k, 2*time.Second), 1)
+	})
+}
+
+func TestAnnouncement(t *testing.T) {
+	data, err := weights.EncodeAnnouncement(weights.Announcement{Holder: "v", Server: "e", Model: "m", Version: 2})
+	assert.NoError(t, "encode", err)
+	a, err := weights.DecodeAnnouncement(data)
+	assert.NoError(t, "decode", err)
+	assert.Equal(t, "version", a.Version, 2)
+	_, err = weights.DecodeAnnouncement([]byte{0xa0})
+	assert.ErrorHas(t, "an empty one", err, "schema 0")
+}
