gateway: a killed VM of the tests stays out of the group

Cause: TestAllVMsAreLost failed in 2 of 25 runs: a join on its way when its VM was killed entered the stand-in's group again, which has no lease, and owned the job. Change: the stand-in refuses the VM before it is removed.

--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -132,6 +132,8 @@
 // kill ends a VM as a loss of power does: nothing is told to anyone.
 func (d *deployment) kill(vm rollout.VMName) {
 	d.stop[vm]()
+	// A call that is still on its way must not join the group again.
+	d.store.Down(vm, true)
 	d.store.Remove(vm)
 }
 
