--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -16,6 +16,7 @@
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/gateway"
 	"lagoonlink.org/lagoonlink/internal/jobs"
+	"lagoonlink.org/lagoonlink/internal/listener"
 	"lagoonlink.org/lagoonlink/internal/relay"
 	"lagoonlink.org/platform/backend"
 	"lagoonlink.org/platform/front"
@@ -69,7 +70,9 @@
 		Journal: platformStore, Groups: platformStore, Operator: store.Operator(platformStore), Servers: store.Servers(platformStore),
 		Forwarder: calls, Engine: calls, Control: calls,
 		Front: func(requests *relay.Relay, keeper *jobs.Keeper, ready func() bool) gateway.Front {
-			return front.New(front.Config{Address: s.Front, Ready: s.Ready, Requests: requests, Jobs: keeper, IsReady: ready})
+			return listener.New(listener.Config{
+				Address: s.Front, Callers: front.New(requests, keeper), ReadyAddress: s.Ready, Ready: front.Readiness(ready),
+			})
 		},
 		Reload: reloader(s, platformStore),
 		Logger: logger, Sink: sink, Metrics: tally.NoopScope,
--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -65,7 +65,7 @@
 	stop     map[rollout.VMName]context.CancelFunc
 	// address takes connections, as a server does that fails and does not crash.
 	address string
-	group    sync.WaitGroup
+	group   sync.WaitGroup
 }
 
 func deploy(t *testing.T, pieces int, pieceTime time.Duration, vms ...rollout.VMName) *deployment {
@@ -74,7 +74,7 @@
 	assert.NoError(t, "listen", err)
 	d := &deployment{
 		address: listener.Addr().String(),
-		store: standin.NewStore(partitions), operator: standin.NewFeed[rollout.Declared](),
+		store:   standin.NewStore(partitions), operator: standin.NewFeed[rollout.Declared](),
 		servers: standin.NewFeed[rollout.RegisteredServer](), engines: standin.NewEngines(model, pieces, pieceTime),
 		faces: map[rollout.VMName]*face{}, stop: map[rollout.VMName]context.CancelFunc{},
 	}
@@ -137,8 +137,8 @@
 	d.store.Remove(vm)
 }
 
-func newJob(id string, samples int, min rollout.WeightVersion) job.Submission {
-	s := job.Submission{ID: id, Host: "a.example", Model: model, MinVersion: min, At: time.Now(), Retention: time.Minute}
+func newJob(id string, samples int, oldest rollout.WeightVersion) job.Submission {
+	s := job.Submission{ID: id, Host: "a.example", Model: model, MinVersion: oldest, At: time.Now(), Retention: time.Minute}
 	for i := range samples {
 		s.Samples = append(s.Samples, job.Sample{ID: fmt.Sprintf("%s-%d", id, i), Group: fmt.Sprint(i / 4), Path: "/p/x", Body: []byte(fmt.Sprint(id, i))})
 	}
--- a/lagoonlink/internal/jobs/keeper.go
+++ b/lagoonlink/internal/jobs/keeper.go
@@ -24,7 +24,7 @@
 	// after records came, longer while none come. The store may answer a read that
 	// meets an append only when its wait ends.
 	followShort = 60 * time.Millisecond
-	followLong = 500 * time.Millisecond
+	followLong  = 500 * time.Millisecond
 	// followBytes bounds one read.
 	followBytes = 1 << 20
 	// spacing is the least time between two reads of a partition that another VM
--- a/rollout/engine/engine.go
+++ b/rollout/engine/engine.go
@@ -4,7 +4,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -29,6 +28,8 @@
 const (
 	maxEventBytes  = 1 << 20
 	maxReportBytes = 1 << 20
+	// lineBuffer is the size of an answer's read buffer.
+	lineBuffer = 4 << 10
 )
 
 // CompletionRequest is the body of a request for a completion.
@@ -105,7 +106,7 @@
 		cancel()
 		return nil, rollout.Tried(err, "generate on %s", address)
 	}
-	return &reader{id: g.ID, body: answer.Body, lines: bufio.NewReader(answer.Body), cancel: cancel, watch: watch, silence: a.silence}, nil
+	return &reader{id: g.ID, body: answer.Body, lines: exchange.NewLines(answer.Body, lineBuffer, maxEventBytes), cancel: cancel, watch: watch, silence: a.silence}, nil
 }
 
 func (a *Adapter) post(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
@@ -133,7 +134,7 @@
 type reader struct {
 	id       string
 	body     io.ReadCloser
-	lines    *bufio.Reader
+	lines    *exchange.Lines
 	cancel   context.CancelFunc
 	finished bool
 	// watch ends the stream when no event came for the time of silence.
@@ -172,22 +173,13 @@
 // event returns the data of the next event.
 func (r *reader) event() ([]byte, error) {
 	for {
-		line, err := r.lines.ReadSlice('\n')
-		var long []byte
-		for errors.Is(err, bufio.ErrBufferFull) && len(long) < maxEventBytes {
-			long = append(long, line...)
-			line, err = r.lines.ReadSlice('\n')
+		line, err := r.lines.Next()
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
 			return nil, err
 		}
-		if long != nil {
-			line = append(long, line...)
-		}
-		line = bytes.TrimRight(line, "\r\n")
 		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
 			return bytes.TrimPrefix(data, []byte(" ")), nil
 		}
--- a/rollout/job/record.go
+++ b/rollout/job/record.go
@@ -48,10 +48,8 @@
 
 // Submission is a job as it was accepted.
 type Submission struct {
-	ID   string
-	Host string
-	// Target is the path that the job was submitted under.
-	Target     string
+	ID         string
+	Host       string
 	Step       uint64
 	Model      rollout.ModelName
 	MinVersion rollout.WeightVersion
--- a/rollout/routes.go
+++ b/rollout/routes.go
@@ -54,8 +54,6 @@
 // RoutedService is a service that routes name.
 type RoutedService struct {
 	Name ServiceName
-	// MaxConnections is what one server accepts from all entry VMs together.
-	MaxConnections int
 	// Slots is how many requests one server runs at once; 0 when not declared.
 	Slots int
 	// Models is set when the servers are model engines.
@@ -64,8 +62,7 @@
 
 // CallerLimits bounds what a caller may send.
 type CallerLimits struct {
-	HeaderBytes int
-	BodyBytes   int
+	BodyBytes int
 }
 
 // RouteTable is one version of the declared routes and services.
--- a/rollout/weights/rotation_test.go
+++ b/rollout/weights/rotation_test.go
@@ -118,7 +118,9 @@
 		k.Given(at, "e", rollout.NamedVersion{Model: "m", Version: 2})
 		return k
 	}
-	version := func(k *weights.Known, after time.Duration) rollout.WeightVersion { return k.Loaded(at.Add(after), "e")["m"] }
+	version := func(k *weights.Known, after time.Duration) rollout.WeightVersion {
+		return k.Loaded(at.Add(after), "e")["m"]
+	}
 	t.Run("a model is left out while it loads, and others not", func(t *testing.T) {
 		assert.Equal(t, "loading", version(fresh(), 500*time.Millisecond), 0)
 		assert.Equal(t, "other model", fresh().Loaded(at, "e")["n"], 4)
