ownership, jobs: a partition that was owned before anyone watched was never run

Found in the log: a job accepted, never taken. Ruled out: false suspicions of crashes, of which the log had none. Change: a watcher hears at once of what is owned; runs may start before the followers do.

--- a/lagoonlink/internal/cmd/cmd.go
+++ b/lagoonlink/internal/cmd/cmd.go
@@ -49,7 +49,8 @@
 			{
 				Name:   "platform",
 				Usage:  "run the entry VM on the users' platform, with the settings that it provides",
-				Action: func(ctx context.Context, _ *cli.Command) error { return serveOnPlatform(ctx) },
+				Flags:  []cli.Flag{&cli.IntFlag{Name: "metrics-port", Usage: "serve metrics at this `PORT` of the VM's address; 0 for none"}},
+				Action: func(ctx context.Context, c *cli.Command) error { return serveOnPlatform(ctx, c.Int("metrics-port")) },
 			},
 			{
 				Name:  "check",
--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -5,18 +5,20 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"reflect"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
 
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/gateway"
 	"lagoonlink.org/lagoonlink/internal/jobs"
 	"lagoonlink.org/lagoonlink/internal/listener"
+	"lagoonlink.org/lagoonlink/internal/metrics"
 	"lagoonlink.org/lagoonlink/internal/relay"
 	"lagoonlink.org/platform/backend"
 	"lagoonlink.org/platform/front"
@@ -46,7 +48,7 @@
 )
 
 // serveOnPlatform runs an entry VM whose state lies in the platform's store.
-func serveOnPlatform(ctx context.Context) error {
+func serveOnPlatform(ctx context.Context, metricsPort int) error {
 	s, err := settings.Load()
 	if err != nil {
 		return err
@@ -62,6 +64,13 @@
 	servers := exchange.New(exchange.Config{
 		Connect: gatewayConnect, IdlePerServer: gatewayIdlePerServer, Idle: gatewayIdle, Silence: gatewaySilence, Buffer: gatewayBuffer,
 	})
+	scope, handler, closer := metrics.New(map[string]string{"vm": s.VM, "zone": s.Zone})
+	// What was counted since the last report is lost with the process.
+	defer func() { _ = closer.Close() }()
+	metricsAddress := ""
+	if metricsPort > 0 {
+		metricsAddress = net.JoinHostPort(s.IP, strconv.Itoa(metricsPort))
+	}
 	platformStore := store.New(control, s.Store)
 	calls := backend.New(servers)
 	return gateway.New(gateway.Config{
@@ -75,7 +84,7 @@
 			})
 		},
 		Reload: reloader(s, platformStore),
-		Logger: logger, Sink: sink, Metrics: tally.NoopScope,
+		Logger: logger, Sink: sink, Metrics: scope, MetricsAddress: metricsAddress, MetricsHandler: handler,
 	}).Run(ctx)
 }
 
--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -109,6 +109,7 @@
 	SwapFailed         = define(752, logrus.WarnLevel, "an order was not carried out; it is tried again", "Look at the engine when it goes on.")
 	SwapYielded        = define(753, logrus.InfoLevel, "another VM gives the orders; this one waits", "None.")
 	SwapLead           = define(754, logrus.InfoLevel, "this VM gives the orders from now on, or no longer", "None.")
+	MetricsLost        = define(761, logrus.WarnLevel, "the metrics can't be served", "Look for another process at the port.")
 	SettingsReloaded   = define(760, logrus.InfoLevel, "the settings were read again", "Settings that need a new start are named in Restart.")
 )
 
--- a/lagoonlink/internal/feed/feed.go
+++ b/lagoonlink/internal/feed/feed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 )
 
@@ -44,11 +45,11 @@
 	for ctx.Err() == nil {
 		err := r.step(ctx)
 		r.note(ctx, err)
-		pause := to.Spacing
+		spacing := to.Spacing
 		if err != nil {
-			pause = retryPause
+			spacing = retryPause
 		}
-		sleep(ctx, pause)
+		pause.For(ctx, spacing)
 	}
 	return nil
 }
@@ -106,15 +107,3 @@
 	}
 	r.failing = err != nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -21,6 +22,7 @@
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/jobs"
 	"lagoonlink.org/lagoonlink/internal/ownership"
+	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/lagoonlink/internal/relay"
 	"lagoonlink.org/lagoonlink/internal/swaps"
 	"lagoonlink.org/rollout"
@@ -91,6 +93,9 @@
 	Front func(requests *relay.Relay, keeper *jobs.Keeper, ready func() bool) Front
 	// Reload reads the settings again and reports what changed in them.
 	Reload func() (changed, restart []string, err error)
+	// MetricsAddress serves MetricsHandler; empty for none.
+	MetricsAddress string
+	MetricsHandler http.Handler
 
 	Logger  *event.Logger
 	Sink    *event.Sink
@@ -125,7 +130,7 @@
 	})
 	g.keeper = jobs.New(jobs.Config{
 		VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, Journal: c.Journal, Engine: c.Engine,
-		Dispatch: g.dispatch, Fleet: g.fleet, InForce: inForce, Owner: g.owner, Logger: c.Logger,
+		Dispatch: g.dispatch, Fleet: g.fleet, InForce: inForce, Owner: g.owner, Logger: c.Logger, Metrics: c.Metrics,
 	})
 	g.swaps = swaps.New(swaps.Config{
 		VM: c.VM, Journal: c.Journal, Control: c.Control, Fleet: g.fleet, Leads: g.leads, Plan: g.keeper.Plan, ChecksFence: c.ChecksFence,
@@ -177,6 +182,7 @@
 		"callers":  g.front.Serve,
 		"ready":    g.front.ServeReady,
 		"signals":  g.untilSignal,
+		"metrics":  g.serveMetrics,
 	} {
 		all.Add(func() error { return g.named(name, duty(ctx)) }, func(error) {
 			cancel()
@@ -208,6 +214,21 @@
 	return nil
 }
 
+// serveMetrics serves the metrics until the context ends. Without them the VM
+// goes on: a port that is taken is no reason to serve nobody.
+func (g *Gateway) serveMetrics(ctx context.Context) error {
+	if g.config.MetricsAddress != "" {
+		s := &http.Server{Addr: g.config.MetricsAddress, Handler: g.config.MetricsHandler, ReadHeaderTimeout: time.Second}
+		// Closing it ends the call below; it has nothing to tell.
+		defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+		if err := s.ListenAndServe(); ctx.Err() == nil {
+			g.config.Logger.Write(event.MetricsLost, event.Fields{"Address": g.config.MetricsAddress, "Error": err})
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
 func (g *Gateway) stop(ctx context.Context) {
 	begun := time.Now()
 	g.config.Logger.Write(event.Draining, event.Fields{"Active": g.front.Active()})
@@ -217,7 +238,7 @@
 	g.keeper.Stop(runs)
 	cancel()
 	g.owner.Leave(ctx)
-	wait(ctx, notice-time.Since(begun))
+	pause.For(ctx, notice-time.Since(begun))
 	left, cancel := context.WithTimeout(ctx, g.config.Grace-graceMargin-time.Since(begun))
 	defer cancel()
 	if err := g.front.Shutdown(left); err != nil && !errors.Is(err, context.Canceled) {
@@ -247,15 +268,3 @@
 		}
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -66,6 +67,20 @@
 	// address takes connections, as a server does that fails and does not crash.
 	address string
 	group   sync.WaitGroup
+	// log gathers the lines of all VMs, which a failed test prints.
+	log lines
+}
+
+// lines is a buffer that several goroutines write to.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(data)
 }
 
 func deploy(t *testing.T, pieces int, pieceTime time.Duration, vms ...rollout.VMName) *deployment {
@@ -94,6 +109,9 @@
 			stop()
 		}
 		d.group.Wait()
+		if t.Failed() {
+			t.Log(d.log.text.String())
+		}
 		assert.NoError(t, "close the listener", listener.Close())
 	})
 	return d
@@ -109,7 +127,7 @@
 
 func (d *deployment) start(vm rollout.VMName) {
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(&d.log)
 	logger := event.NewLogger(log)
 	access := d.store.Of(vm)
 	f := &face{closed: make(chan struct{})}
--- a/lagoonlink/internal/jobs/answers.go
+++ b/lagoonlink/internal/jobs/answers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/job"
 )
@@ -55,7 +56,7 @@
 		if rollout.VerdictOf(err) != rollout.NotRun {
 			verdict = rollout.MayHaveRun
 		}
-		sleep(ctx, appendPause)
+		pause.For(ctx, appendPause)
 	}
 	f := rollout.Fail(verdict, rollout.ReasonLogUnavailable, err)
 	return f.WithRetryAfter(storeRetryAfter)
--- a/lagoonlink/internal/jobs/keeper.go
+++ b/lagoonlink/internal/jobs/keeper.go
@@ -9,11 +9,14 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/fleet"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/ownership"
+	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/job"
 )
@@ -56,6 +59,7 @@
 	InForce     *inforce.Holder
 	Owner       *ownership.Owner
 	Logger      *event.Logger
+	Metrics     tally.Scope
 }
 
 // partition is the fold of one partition of the index.
@@ -105,6 +109,7 @@
 // ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	var group sync.WaitGroup
+	k.runner.open(ctx)
 	for n := range k.partitions {
 		group.Go(func() { k.follow(ctx, k.partitions[n]) })
 		group.Go(func() { k.writers[n].run(ctx) })
@@ -136,9 +141,9 @@
 		failing = err != nil
 		switch {
 		case failing:
-			sleep(ctx, followRetry)
+			pause.For(ctx, followRetry)
 		case !k.owns(p.id.Number):
-			sleep(ctx, spacing)
+			pause.For(ctx, spacing)
 		}
 	}
 }
@@ -214,7 +219,7 @@
 
 func (k *Keeper) forget(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, forgetEvery)
+		pause.For(ctx, forgetEvery)
 		for _, p := range k.partitions {
 			p.mu.Lock()
 			p.fold.Forget(time.Now().Add(-keepFor))
@@ -222,12 +227,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -12,6 +12,8 @@
 
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/metrics"
+	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/job"
 	"lagoonlink.org/rollout/placement"
@@ -92,11 +94,15 @@
 	return &runner{keeper: k, runs: map[string]*run{}, behind: map[rollout.ModelName]uint64{}, paces: map[rollout.ServiceName]*job.Pace{}}
 }
 
-// run follows the ownership until the context ends.
-func (r *runner) run(ctx context.Context) {
+// open lets runs start, until the context ends.
+func (r *runner) open(ctx context.Context) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.ctx = ctx
-	r.mu.Unlock()
+}
+
+// run follows the ownership until the context ends.
+func (r *runner) run(ctx context.Context) {
 	changes := r.keeper.config.Owner.Watch()
 	for {
 		select {
@@ -147,7 +153,7 @@
 // another VM may have listed results meanwhile.
 func (r *runner) adopt(ctx context.Context, number int, p *partition) {
 	for r.keeper.catchUp(ctx, p) != nil {
-		if sleep(ctx, followRetry); ctx.Err() != nil {
+		if pause.For(ctx, followRetry); ctx.Err() != nil {
 			return
 		}
 	}
@@ -313,7 +319,7 @@
 		}
 		var err error
 		if ticket, err = k.config.Dispatch.Enqueue(r.ask(u, s, t.avoid)); err != nil {
-			sleep(ctx, noServerPause)
+			pause.For(ctx, noServerPause)
 			ticket = nil
 		}
 	}
@@ -338,6 +344,9 @@
 	if outcome != job.Done {
 		text, result.Versions = nil, nil
 	}
+	tagged := r.keeper.config.Metrics.Tagged(map[string]string{"model": string(u.submission.Model)})
+	tagged.Histogram("sample_seconds", metrics.Latencies).RecordDuration(time.Since(u.submission.At))
+	tagged.Counter("sample_runs").Inc(int64(len(t.servers)))
 	r.keeper.config.Logger.Write(event.SampleMade, event.Fields{
 		"Job": u.job.ID, "Sample": t.sample.ID, "Outcome": outcome, "Pieces": p.Pieces(), "Resumed": t.resumed, "Versions": p.Versions(),
 		"Servers": t.servers, "Waited": t.waited.Seconds(), "Age": time.Since(u.submission.At).Seconds(), "Estimate": t.sample.Length,
@@ -428,7 +437,7 @@
 	t.waited += time.Since(asked)
 	if err != nil {
 		t.avoid = nil
-		sleep(ctx, noServerPause)
+		pause.For(ctx, noServerPause)
 		return 0, false
 	}
 	t.servers = append(t.servers, grant.Server.Name)
@@ -469,7 +478,7 @@
 		return job.GivenUp, true
 	}
 	if f.Verdict == rollout.NotRun {
-		sleep(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	return 0, false
 }
--- a/lagoonlink/internal/jobs/texts.go
+++ b/lagoonlink/internal/jobs/texts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/job"
 )
@@ -161,7 +162,7 @@
 // batch gathers results for one append.
 func (w *writer) batch(ctx context.Context, first ended) []ended {
 	batch, bytes := []ended{first}, len(first.text)
-	sleep(ctx, gather)
+	pause.For(ctx, gather)
 	for bytes < w.config.CallBytes/2 {
 		select {
 		case e := <-w.ring:
@@ -227,6 +228,6 @@
 			w.config.Logger.Write(event.JournalUnwritable, event.Fields{"Partition": p, "Error": err})
 		}
 		w.failing = true
-		sleep(ctx, writeRetry)
+		pause.For(ctx, writeRetry)
 	}
 }
--- a/lagoonlink/internal/ownership/ownership.go
+++ b/lagoonlink/internal/ownership/ownership.go
@@ -55,11 +55,15 @@
 	return o.current
 }
 
-// Watch returns a channel that gets a value after each change.
+// Watch returns a channel that gets a value after each change, and one at once
+// when something is owned already.
 func (o *Owner) Watch() <-chan struct{} {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	w := make(chan struct{}, 1)
+	if len(o.current.Partitions) > 0 {
+		w <- struct{}{}
+	}
 	o.watchers = append(o.watchers, w)
 	return w
 }
--- /dev/null
+++ b/lagoonlink/internal/ownership/ownership_test.go
@@ -0,0 +1,71 @@
+package ownership_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/ownership"
+	"lagoonlink.org/lagoonlink/internal/standin"
+	"lagoonlink.org/rollout/assert"
+)
+
+func start(t *testing.T, s *standin.Store, name string) *ownership.Owner {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	access := s.Of("a")
+	o := ownership.New(ownership.Config{VM: "a", Groups: access, Group: name, Topics: []string{"jobs"}, Lease: 40 * time.Millisecond, Logger: event.NewLogger(log)})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = o.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return o
+}
+
+// owned waits until a VM owns a number of partitions.
+func owned(t *testing.T, o *ownership.Owner, want int) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); len(o.Current().Partitions) != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("partitions: got %d, want %d", len(o.Current().Partitions), want)
+		}
+	}
+}
+
+func TestOwner(t *testing.T) {
+	t.Run("tells a late watcher of what is owned already", func(t *testing.T) {
+		o := start(t, standin.NewStore(4), "g")
+		owned(t, o, 4)
+		select {
+		case <-o.Watch():
+		case <-time.After(time.Second):
+			t.Errorf("watch: got nothing, want a value at once")
+		}
+	})
+	t.Run("keeps what it had while the store is away", func(t *testing.T) {
+		s := standin.NewStore(4)
+		o := start(t, s, "g")
+		owned(t, o, 4)
+		s.Down("a", true)
+		time.Sleep(100 * time.Millisecond)
+		owned(t, o, 4)
+	})
+	t.Run("owns nothing after it has left", func(t *testing.T) {
+		o := start(t, standin.NewStore(4), "g")
+		owned(t, o, 4)
+		o.Leave(context.Background())
+		time.Sleep(60 * time.Millisecond)
+		assert.Equal(t, "partitions", len(o.Current().Partitions), 0)
+	})
+}
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -15,6 +15,8 @@
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/inforce"
+	"lagoonlink.org/lagoonlink/internal/metrics"
+	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/placement"
 	"lagoonlink.org/rollout/request"
@@ -154,7 +156,7 @@
 			if s.refusals >= maxRefusals || ctx.Err() != nil {
 				return rollout.ForwardedAnswer{}, s.refusal(err)
 			}
-			sleep(ctx, refusalPause)
+			pause.For(ctx, refusalPause)
 			continue
 		}
 		s.verdict = rollout.MayHaveRun
@@ -260,7 +262,11 @@
 
 func (r *Relay) note(s *served, a rollout.ForwardedAnswer, err error) {
 	took := time.Since(s.begun)
-	r.config.Metrics.Tagged(map[string]string{"route": s.route.Name}).Histogram("request_seconds", buckets).RecordDuration(took)
+	tagged := r.config.Metrics.Tagged(map[string]string{"route": s.route.Name})
+	if err != nil {
+		tagged.Counter("requests_failed").Inc(1)
+	}
+	tagged.Histogram("request_seconds", metrics.Latencies).RecordDuration(took)
 	fields := event.Fields{
 		"Request": s.request.ID, "Route": s.route.Name, "Service": s.target, "Attempts": s.ran, "Refusals": s.refusals,
 		"Servers": s.avoid, "Took": took.Round(time.Microsecond).String(),
@@ -277,15 +283,3 @@
 		r.config.Logger.Write(event.RequestLost, fields)
 	}
 }
-
-// buckets of the latency histogram: 2 ms to about 8 s.
-var buckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 13)
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/lagoonlink/internal/swaps/swaps.go
+++ b/lagoonlink/internal/swaps/swaps.go
@@ -16,6 +16,7 @@
 
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/fleet"
+	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/weights"
 )
@@ -125,7 +126,7 @@
 func (s *Swaps) Follow(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if err := s.read(ctx); err != nil {
-			sleep(ctx, readPause)
+			pause.For(ctx, readPause)
 		}
 	}
 	return nil
@@ -360,8 +361,8 @@
 
 // await asks the engine until it has loaded the version.
 func (s *Swaps) await(ctx context.Context, server rollout.Server, o rollout.EngineOrder) bool {
-	sleep(ctx, weights.LoadTime+reportLag)
-	for end := time.Now().Add(askFor); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, askEvery) {
+	pause.For(ctx, weights.LoadTime+reportLag)
+	for end := time.Now().Add(askFor); time.Now().Before(end) && ctx.Err() == nil; pause.For(ctx, askEvery) {
 		state, err := s.config.Control.State(ctx, server)
 		if err != nil {
 			continue
@@ -404,12 +405,3 @@
 	s.mu.Unlock()
 	s.config.Logger.Write(event.SwapFailed, event.Fields{"Server": server.Name, "Model": w.Model, "Version": w.Version, "Error": err})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/lagoonlink/internal/vm/vm.go
+++ b/lagoonlink/internal/vm/vm.go
@@ -20,7 +20,6 @@
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
-	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/entry"
@@ -29,7 +28,9 @@
 	"lagoonlink.org/lagoonlink/internal/holder"
 	"lagoonlink.org/lagoonlink/internal/identity"
 	"lagoonlink.org/lagoonlink/internal/inforce"
+	"lagoonlink.org/lagoonlink/internal/metrics"
 	"lagoonlink.org/lagoonlink/internal/orders"
+	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/lagoonlink/internal/peer"
 	"lagoonlink.org/lagoonlink/internal/settings"
 	"lagoonlink.org/lagoonlink/internal/status"
@@ -50,7 +51,6 @@
 	connectTimeout = 500 * time.Millisecond
 	idlePerServer  = 64
 	idleControl    = 4
-	metricsEvery   = 10 * time.Second
 )
 
 // VM is one entry VM.
@@ -126,17 +126,9 @@
 }
 
 func (v *VM) metrics() (tally.Scope, http.Handler) {
-	reporter := promreporter.NewReporter(promreporter.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "lagoonlink",
-		Tags:                   map[string]string{"vm": v.settings.VM.Name, "zone": v.settings.VM.Zone},
-		CachedReporter:         reporter,
-		Separator:              promreporter.DefaultSeparator,
-		SanitizeOptions:        &promreporter.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-	}, metricsEvery)
+	scope, handler, closer := metrics.New(map[string]string{"vm": v.settings.VM.Name, "zone": v.settings.VM.Zone})
 	v.closers = append(v.closers, closer)
-	return scope, reporter.HTTPHandler()
+	return scope, handler
 }
 
 var placements = map[string]placement.Policy{
@@ -304,7 +296,7 @@
 	}
 	v.logger.Write(event.Draining, event.Fields{"Active": v.entry.Active()})
 	v.status.SetReady(false)
-	wait(ctx, v.settings.Timing.Notice)
+	pause.For(ctx, v.settings.Timing.Notice)
 	v.node.Leave(ctx)
 	v.entry.Drain()
 	v.awaitIdle(ctx)
@@ -321,16 +313,7 @@
 			v.logger.Write(event.DrainTimeout, event.Fields{"Active": v.entry.Active()})
 			return
 		}
-		wait(ctx, idlePause)
+		pause.For(ctx, idlePause)
 	}
 	v.logger.Write(event.Drained, event.Fields{})
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
