fair, dispatch: a blocked tenant holds up nobody; reports of new servers count

In its log a job was taken and none of its samples was ever placed: one call of the queue looked at 64 items, all of a job that waited for weights, so the others starved for 11 s. And a report sent right after its server came into force met a dispatcher that did not know the server, so samples ran on old weights up to 39 times in vain. Ruled out: ownership (the job was taken within 1.1 s), orders (none was late). Change: the queue keeps each tenant's items apart and asks about each tenant's first; the dispatcher declares the view in force before it handles a message.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -129,6 +129,8 @@
 	desks    map[Target]*desk
 	suspects *request.Suspects
 	leaving  map[string]bool
+	// view is what was declared last.
+	view *inforce.View
 	// ended is closed when Run returns; nothing answers after it.
 	ended chan struct{}
 }
@@ -282,7 +284,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-changes:
-			d.declare(d.config.InForce.Current())
+			d.refresh()
 		case m := <-d.ring:
 			d.handle(time.Now(), m)
 		case now := <-tick.C:
@@ -295,7 +297,17 @@
 	}
 }
 
+// refresh declares the view in force unless it is declared already.
+func (d *Dispatcher) refresh() {
+	if v := d.config.InForce.Current(); v != nil && v != d.view {
+		d.view = v
+		d.declare(v)
+	}
+}
+
 func (d *Dispatcher) handle(now time.Time, m any) {
+	// What a message is about may have come into force just before it was sent.
+	d.refresh()
 	switch m := m.(type) {
 	case askMessage:
 		d.ask(now, m)
--- /dev/null
+++ b/lagoonlink/internal/dispatch/dispatch_test.go
@@ -0,0 +1,118 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlink.org/lagoonlink/internal/dispatch"
+	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/inforce"
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/fair"
+	"lagoonlink.org/rollout/placement"
+	"lagoonlink.org/rollout/request"
+)
+
+var target = dispatch.Target{Pool: "p"}
+
+// start runs a dispatcher over a pool of servers.
+func start(t *testing.T, servers ...rollout.ServerName) (*dispatch.Dispatcher, *inforce.Holder, context.CancelFunc) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	inForce := &inforce.Holder{}
+	inForce.Set(view(1, servers...))
+	d := dispatch.New(dispatch.Config{
+		Ring: 64, Limits: fair.Limits{Items: 64, TenantItems: 64}, InForce: inForce, Logger: event.NewLogger(log),
+		Reachable: func(string) bool { return false }, Announce: func() {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = d.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return d, inForce, cancel
+}
+
+func view(version rollout.ConfigurationVersion, servers ...rollout.ServerName) *inforce.View {
+	pool := rollout.Pool{Name: "p", Models: []rollout.ModelName{"m"}, MaxConcurrency: 4}
+	for _, s := range servers {
+		pool.Servers = append(pool.Servers, rollout.Server{Name: s, Address: string(s)})
+	}
+	return &inforce.View{Version: version, Configuration: rollout.Configuration{Pools: []rollout.Pool{pool}}}
+}
+
+func ask(oldest rollout.WeightVersion, f request.Fingerprint) dispatch.Ask {
+	return dispatch.Ask{Target: target, Want: placement.Want{Class: rollout.ClassRollout, Model: "m", MinVersion: oldest}, Tenant: "t", Cost: 1, Fingerprint: f}
+}
+
+func acquire(t *testing.T, d *dispatch.Dispatcher, a dispatch.Ask, wait time.Duration) (*dispatch.Grant, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return d.Acquire(ctx, a)
+}
+
+// TestReportOfNewServer sends a report right after its server came into force: it
+// must not be lost, or work goes to a server whose weights are too old.
+func TestReportOfNewServer(t *testing.T) {
+	d, inForce, _ := start(t, "a")
+	for version := rollout.ConfigurationVersion(2); version < 60; version++ {
+		name := rollout.ServerName(rune('A' + version))
+		inForce.Set(view(version, name))
+		d.Reported("p", name, rollout.LoadReport{Loaded: map[rollout.ModelName]rollout.WeightVersion{"m": 1}})
+		_, err := acquire(t, d, ask(2, 0), 2*time.Millisecond)
+		assert.True(t, "no grant for weights that are too old", err != nil)
+	}
+}
+
+func TestEndedDispatcher(t *testing.T) {
+	d, _, cancel := start(t, "a")
+	d.Reported("p", "a", rollout.LoadReport{Loaded: map[rollout.ModelName]rollout.WeightVersion{"m": 1}})
+	ticket, err := d.Enqueue(ask(2, 0))
+	assert.NoError(t, "enqueue", err)
+	cancel()
+	ctx, done := context.WithTimeout(context.Background(), 10*time.Second)
+	defer done()
+	_, err = ticket.Wait(ctx)
+	assert.Equal(t, "reason", rollout.FailureOf(err).Reason, rollout.ReasonDraining)
+}
+
+// TestSuspectsRunApart crashes a server under several requests and checks that
+// these run one a server afterwards, at the same time.
+func TestSuspectsRunApart(t *testing.T) {
+	d, _, _ := start(t, "a", "b", "c")
+	var grants []*dispatch.Grant
+	for f := range request.Fingerprint(12) {
+		g, err := acquire(t, d, ask(0, f+1), time.Second)
+		assert.NoError(t, "grant", err)
+		grants = append(grants, g)
+	}
+	for _, g := range grants {
+		g.Done(dispatch.Result{Broken: g.Server.Name == "a", Outcome: placement.Outcome{Failed: g.Server.Name == "a"}})
+	}
+	used := map[rollout.ServerName]int{}
+	for f, g := range grants {
+		if g.Server.Name != "a" {
+			continue
+		}
+		again, err := acquire(t, d, ask(0, request.Fingerprint(f+1)), 100*time.Millisecond)
+		if err == nil {
+			used[again.Server.Name]++
+		}
+	}
+	assert.True(t, "several run at the same time", len(used) > 1)
+	for name, n := range used {
+		assert.Equal(t, "suspects on "+string(name), n, 1)
+	}
+}
--- a/rollout/fair/queue.go
+++ b/rollout/fair/queue.go
@@ -9,7 +9,9 @@
 package fair
 
 import (
+	"cmp"
 	"container/heap"
+	"slices"
 	"time"
 
 	"lagoonlink.org/rollout"
@@ -76,10 +78,11 @@
 
 // lane is the queue of one class.
 type lane struct {
-	waiting byTag
+	// waiting holds each tenant's items; a tenant without items has no entry.
+	waiting map[string]*byTag
+	size    int
 	virtual float64
 	finish  map[string]float64
-	queued  map[string]int
 }
 
 const lanes = 3
@@ -96,7 +99,7 @@
 func New(l Limits) *Queue {
 	q := &Queue{limits: l, byID: map[uint64]*entry{}}
 	for i := range q.lanes {
-		q.lanes[i] = lane{finish: map[string]float64{}, queued: map[string]int{}}
+		q.lanes[i] = lane{finish: map[string]float64{}, waiting: map[string]*byTag{}}
 	}
 	return q
 }
@@ -108,18 +111,29 @@
 	if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
 		return rollout.Refuse(rollout.ReasonDeadline, "the deadline passed before the request was queued")
 	}
-	if len(l.waiting) >= q.limits.Items || l.queued[it.Tenant] >= q.limits.TenantItems {
-		return rollout.Refuse(rollout.ReasonOverloaded, "%d requests of class %s are queued", len(l.waiting), it.Class).WithRetryAfter(time.Second)
+	if l.size >= q.limits.Items || l.queued(it.Tenant) >= q.limits.TenantItems {
+		return rollout.Refuse(rollout.ReasonOverloaded, "%d requests of class %s are queued", l.size, it.Class).WithRetryAfter(time.Second)
 	}
 	q.order++
 	e := &entry{item: it, tag: max(l.virtual, l.finish[it.Tenant]), order: q.order}
 	l.finish[it.Tenant] = e.tag + cost(it)
-	l.queued[it.Tenant]++
-	heap.Push(&l.waiting, e)
+	if l.waiting[it.Tenant] == nil {
+		l.waiting[it.Tenant] = &byTag{}
+	}
+	heap.Push(l.waiting[it.Tenant], e)
+	l.size++
 	q.byID[it.ID] = e
 	return nil
 }
 
+// queued returns how many items of a tenant wait.
+func (l *lane) queued(tenant string) int {
+	if w := l.waiting[tenant]; w != nil {
+		return len(*w)
+	}
+	return 0
+}
+
 func cost(it Item) float64 {
 	c := max(it.Cost, 1) / float64(max(it.Share, 1))
 	if it.Boost {
@@ -140,43 +154,32 @@
 	return Item{}, false
 }
 
-// maxLooks bounds how many items of a class one call of Next looks at.
-const maxLooks = 64
-
 func (q *Queue) nextOf(l *lane, accepts func(Item) bool) (Item, bool) {
-	if len(l.waiting) == 0 {
-		return Item{}, false
+	heads := make(byTag, 0, len(l.waiting))
+	for _, w := range l.waiting {
+		heads = append(heads, (*w)[0])
 	}
-	var passed []*entry
-	defer func() {
-		for _, e := range passed {
-			heap.Push(&l.waiting, e)
-		}
-	}()
-	refused := map[string]bool{}
-	for looks := 0; len(l.waiting) > 0 && looks < maxLooks; looks++ {
-		e := heap.Pop(&l.waiting).(*entry)
-		if refused[e.item.Tenant] || !accepts(e.item) {
-			refused[e.item.Tenant] = true
-			passed = append(passed, e)
-			if len(refused) == len(l.queued) {
-				return Item{}, false
-			}
-			continue
+	slices.SortFunc(heads, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.tag, b.tag), cmp.Compare(a.order, b.order))
+	})
+	for _, e := range heads {
+		if accepts(e.item) {
+			l.virtual = max(l.virtual, e.tag)
+			q.forget(l, e)
+			return e.item, true
 		}
-		l.virtual = max(l.virtual, e.tag)
-		q.forget(l, e)
-		return e.item, true
 	}
 	return Item{}, false
 }
 
+// forget takes an entry out of its tenant's items.
 func (q *Queue) forget(l *lane, e *entry) {
 	delete(q.byID, e.item.ID)
 	t := e.item.Tenant
-	l.queued[t]--
-	if l.queued[t] == 0 {
-		delete(l.queued, t)
+	heap.Remove(l.waiting[t], e.index)
+	l.size--
+	if l.queued(t) == 0 {
+		delete(l.waiting, t)
 		if l.finish[t] <= l.virtual {
 			delete(l.finish, t)
 		}
@@ -189,9 +192,7 @@
 	if !ok {
 		return false
 	}
-	l := &q.lanes[e.item.Class]
-	heap.Remove(&l.waiting, e.index)
-	q.forget(l, e)
+	q.forget(&q.lanes[e.item.Class], e)
 	return true
 }
 
@@ -199,9 +200,11 @@
 func (q *Queue) Expire(now time.Time) []Item {
 	var out []Item
 	for i := range q.lanes {
-		for _, e := range q.lanes[i].waiting {
-			if d := e.item.Deadline; !d.IsZero() && !now.Before(d) {
-				out = append(out, e.item)
+		for _, w := range q.lanes[i].waiting {
+			for _, e := range *w {
+				if d := e.item.Deadline; !d.IsZero() && !now.Before(d) {
+					out = append(out, e.item)
+				}
 			}
 		}
 	}
@@ -212,13 +215,13 @@
 }
 
 // Len returns how many items of a class are queued.
-func (q *Queue) Len(c rollout.Class) int { return len(q.lanes[c].waiting) }
+func (q *Queue) Len(c rollout.Class) int { return q.lanes[c].size }
 
 // Tenants returns how many items each tenant has queued in a class.
 func (q *Queue) Tenants(c rollout.Class) map[string]int {
-	out := make(map[string]int, len(q.lanes[c].queued))
-	for t, n := range q.lanes[c].queued {
-		out[t] = n
+	out := make(map[string]int, len(q.lanes[c].waiting))
+	for t, w := range q.lanes[c].waiting {
+		out[t] = len(*w)
 	}
 	return out
 }
--- a/rollout/fair/queue_test.go
+++ b/rollout/fair/queue_test.go
@@ -116,3 +116,29 @@
 		assert.True(t, "it is not queued any more", !q.Remove(1))
 	})
 }
+
+// TestBlockedTenantHoldsUpNobody plays a trainer whose hundred samples wait for
+// weights while another's could run.
+func TestBlockedTenantHoldsUpNobody(t *testing.T) {
+	q := fair.New(fair.Limits{Items: 1000, TenantItems: 1000})
+	now := time.Unix(0, 0)
+	// The able tenant has had more than its share, so its item is the last.
+	assert.True(t, "queued", q.Push(now, fair.Item{ID: 999, Tenant: "able", Class: rollout.ClassRollout, Cost: 5000}) == nil)
+	_, ok := q.Next(func(fair.Item) bool { return true })
+	assert.True(t, "served", ok)
+	for id := range uint64(100) {
+		assert.True(t, "queued", q.Push(now, fair.Item{ID: id + 1, Tenant: "blocked", Class: rollout.ClassRollout, Cost: 1}) == nil)
+	}
+	assert.True(t, "queued", q.Push(now, fair.Item{ID: 1000, Tenant: "able", Class: rollout.ClassRollout, Cost: 500}) == nil)
+	asked := 0
+	it, ok := q.Next(func(it fair.Item) bool {
+		asked++
+		return it.Tenant == "able"
+	})
+	assert.True(t, "an item is found", ok)
+	assert.Equal(t, "item", it.ID, 1000)
+	assert.Equal(t, "items asked about", asked, 2)
+	_, ok = q.Next(func(it fair.Item) bool { return it.Tenant == "able" })
+	assert.True(t, "no other", !ok)
+	assert.Equal(t, "left", q.Len(rollout.ClassRollout), 100)
+}
