--- a/rollout/job/fold_test.go
+++ b/rollout/job/fold_test.go
@@ -178,6 +178,13 @@
 	})
 }
 
+func TestTimeIsExact(t *testing.T) {
+	s := submission("a", 1)
+	s.At = epoch.Add(856 * time.Millisecond)
+	events := apply(t, job.NewFold(), 0, job.Record{Submission: s})
+	assert.True(t, "the time of acceptance", events[0].Submission.At.Equal(s.At))
+}
+
 func TestDecodeRefuses(t *testing.T) {
 	both, err := job.Encode(job.Record{End: &job.End{Job: "a"}, Result: &job.Result{Job: "a"}}, 1<<20)
 	assert.NoError(t, "encode", err)
--- a/rollout/job/record.go
+++ b/rollout/job/record.go
@@ -126,10 +126,20 @@
 // chunkSlack is what a chunk's own fields need beside its data.
 const chunkSlack = 512
 
+// encoding keeps times to the nanosecond; the default cuts them to the second.
+func encoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		// The options are constant.
+		panic(err)
+	}
+	return mode
+}
+
 // Encode returns the records of the index for a record.
 func Encode(r Record, recordBytes int) ([][]byte, error) {
 	r.Schema = Schema
-	data, err := cbor.Marshal(r)
+	data, err := encoding().Marshal(r)
 	if err != nil {
 		return nil, rollout.Tried(err, "encode a record")
 	}
@@ -143,7 +153,7 @@
 	for part := 0; len(data) > 0; part++ {
 		n := min(len(data), recordBytes-chunkSlack)
 		c := Chunk{Job: r.Submission.ID, Part: part, Last: n == len(data), Data: data[:n]}
-		encoded, err := cbor.Marshal(Record{Schema: Schema, Chunk: &c})
+		encoded, err := encoding().Marshal(Record{Schema: Schema, Chunk: &c})
 		if err != nil {
 			return nil, rollout.Tried(err, "encode a part of a record")
 		}
