suspicions: tell every VM which requests crash their servers

Cause: on the platform a VM kept its suspicions to itself, so a request that crashes servers could crash two at each VM that its caller reached. Ruled out: the peers' probes, which are not started there.

--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"lagoonlink.org/lagoonlink/internal/ownership"
 	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/lagoonlink/internal/relay"
+	"lagoonlink.org/lagoonlink/internal/suspicions"
 	"lagoonlink.org/lagoonlink/internal/swaps"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/exchange"
@@ -104,14 +105,15 @@
 
 // Gateway is one entry VM.
 type Gateway struct {
-	config   Config
-	dispatch *dispatch.Dispatcher
-	fleet    *fleet.Fleet
-	owner    *ownership.Owner
-	keeper   *jobs.Keeper
-	swaps    *swaps.Swaps
-	front    Front
-	stopping chan struct{}
+	config     Config
+	dispatch   *dispatch.Dispatcher
+	fleet      *fleet.Fleet
+	owner      *ownership.Owner
+	keeper     *jobs.Keeper
+	swaps      *swaps.Swaps
+	suspicions *suspicions.Suspicions
+	front      Front
+	stopping   chan struct{}
 }
 
 // New assembles an entry VM.
@@ -120,10 +122,11 @@
 	inForce := &inforce.Holder{}
 	g.dispatch = dispatch.New(dispatch.Config{
 		Zone: c.Zone, Ring: ring, Limits: fair.Limits{Items: queued, TenantItems: queued}, Policy: placement.PolicyLocality,
-		InForce: inForce, Logger: c.Logger, Reachable: exchange.Reachable, Announce: func() {},
+		InForce: inForce, Logger: c.Logger, Reachable: exchange.Reachable, Announce: func() { g.suspicions.Announce() },
 		// The servers say how much they run at once.
 		StartLimit: func(most int) int { return most },
 	})
+	g.suspicions = suspicions.New(suspicions.Config{Journal: c.Journal, Rumors: g.dispatch.Rumors, Heard: g.dispatch.Heard, Logger: c.Logger})
 	g.fleet = fleet.New(fleet.Config{Operator: c.Operator, Servers: c.Servers, InForce: inForce, Dispatch: g.dispatch, ChecksFence: c.ChecksFence, Logger: c.Logger})
 	g.owner = ownership.New(ownership.Config{
 		VM: c.VM, Groups: c.Groups, Group: group, Topics: []string{job.TopicIndex}, Lease: time.Duration(memberships * float64(c.MinMembership)), Logger: c.Logger,
@@ -179,6 +182,8 @@
 		"follow":   g.swaps.Follow,
 		"swaps":    g.swaps.Run,
 		"reload":   g.reload,
+		"tell":     g.suspicions.Tell,
+		"hear":     g.suspicions.Follow,
 		"callers":  g.front.Serve,
 		"ready":    g.front.ServeReady,
 		"signals":  g.untilSignal,
--- /dev/null
+++ b/lagoonlink/internal/suspicions/suspicions_test.go
@@ -0,0 +1,83 @@
+package suspicions_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/standin"
+	"lagoonlink.org/lagoonlink/internal/suspicions"
+	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/request"
+)
+
+// vm is one VM's suspicions.
+type vm struct {
+	mu       sync.Mutex
+	suspects *request.Suspects
+}
+
+func (v *vm) standing(f request.Fingerprint) request.Standing {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.suspects.Standing(time.Now(), f)
+}
+
+// TestConvictionReachesEveryVM crashes a server twice under a request at one VM,
+// while the store is away, and asks another VM and one that starts later.
+func TestConvictionReachesEveryVM(t *testing.T) {
+	store := standin.NewStore(1)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	start := func() (*vm, *suspicions.Suspicions) {
+		v := &vm{suspects: request.NewSuspects()}
+		s := suspicions.New(suspicions.Config{
+			Journal: store.Of("a"), Logger: event.NewLogger(log),
+			Rumors: func() []request.Rumor {
+				v.mu.Lock()
+				defer v.mu.Unlock()
+				return v.suspects.Rumors(time.Now(), 8)
+			},
+			Heard: func(rumors []request.Rumor) {
+				v.mu.Lock()
+				defer v.mu.Unlock()
+				for _, r := range rumors {
+					v.suspects.Heard(time.Now(), r)
+				}
+			},
+		})
+		group.Go(func() { _ = s.Tell(ctx) })
+		group.Go(func() { _ = s.Follow(ctx) })
+		return v, s
+	}
+	first, told := start()
+	second, _ := start()
+	store.Down("a", true)
+	first.mu.Lock()
+	first.suspects.Crashed(time.Now(), []request.Flight{{Fingerprint: 7}})
+	first.suspects.Crashed(time.Now(), []request.Flight{{Fingerprint: 7, Watched: true}})
+	first.mu.Unlock()
+	told.Announce()
+	time.Sleep(50 * time.Millisecond)
+	store.Down("a", false)
+	third, _ := start()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if second.standing(7) == request.Convicted && third.standing(7) == request.Convicted {
+			break
+		}
+	}
+	assert.Equal(t, "standing at the second VM", second.standing(7), request.Convicted)
+	assert.Equal(t, "standing at a VM that started later", third.standing(7), request.Convicted)
+	assert.Equal(t, "standing of another request", second.standing(8), request.Clear)
+}
