--- a/lagoonlink/internal/relay/relay_test.go
+++ b/lagoonlink/internal/relay/relay_test.go
@@ -55,7 +55,7 @@
 }
 
 // serve runs one request of a route against a script.
-func serve(t *testing.T, kind rollout.RouteKind, wait time.Duration, script ...any) (rollout.ForwardedAnswer, error, *scripted) {
+func serve(t *testing.T, kind rollout.RouteKind, wait time.Duration, script ...any) (rollout.ForwardedAnswer, *scripted, error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, "listen", err)
@@ -93,7 +93,7 @@
 	found, err := r.Route("h", "/x")
 	assert.NoError(t, "route", err)
 	answer, err := r.Serve(ctx, rollout.ForwardedRequest{ID: "1", Method: "POST", Host: "h", Target: "/x"}, found, wait)
-	return answer, err, f
+	return answer, f, err
 }
 
 func TestAttempts(t *testing.T) {
@@ -119,7 +119,7 @@
 		"silent, not idempotent, out of time": {rollout.RouteOnce, []any{nil}, 0, rollout.MayHaveRun, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			answer, err, f := serve(t, c.kind, 400*time.Millisecond, c.script...)
+			answer, f, err := serve(t, c.kind, 400*time.Millisecond, c.script...)
 			assert.Equal(t, "status", answer.Status, c.status)
 			if c.verdict != rollout.Ran {
 				assert.Equal(t, "verdict", rollout.VerdictOf(err), c.verdict)
@@ -134,7 +134,7 @@
 
 func TestDeadline(t *testing.T) {
 	begun := time.Now()
-	_, err, _ := serve(t, rollout.RouteOnce, 120*time.Millisecond, nil)
+	_, _, err := serve(t, rollout.RouteOnce, 120*time.Millisecond, nil)
 	assert.Equal(t, "reason", rollout.FailureOf(err).Reason, rollout.ReasonDeadline)
 	assert.AtMost(t, "time", time.Since(begun).Milliseconds(), 400)
 }
