--- a/lagoonlink/internal/dispatch/dispatch_test.go
+++ b/lagoonlink/internal/dispatch/dispatch_test.go
@@ -63,16 +63,32 @@
 	return d.Acquire(ctx, a)
 }
 
-// TestReportOfNewServer sends a report right after its server came into force: it
-// must not be lost, or work goes to a server whose weights are too old.
+// TestReportOfNewServer has a view and a report of its server waiting when the
+// dispatcher looks: whichever it takes first, the report must not be lost, or work
+// goes to a server whose weights are too old. The order is the scheduler's choice,
+// so many dispatchers are asked.
 func TestReportOfNewServer(t *testing.T) {
-	d, inForce, _ := start(t, "a")
-	for version := rollout.ConfigurationVersion(2); version < 60; version++ {
-		name := rollout.ServerName(rune('A' + version))
-		inForce.Set(view(version, name))
-		d.Reported("p", name, rollout.LoadReport{Loaded: map[rollout.ModelName]rollout.WeightVersion{"m": 1}})
-		_, err := acquire(t, d, ask(2, 0), 2*time.Millisecond)
+	for range 40 {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		inForce := &inforce.Holder{}
+		d := dispatch.New(dispatch.Config{
+			Ring: 64, Limits: fair.Limits{Items: 64, TenantItems: 64}, InForce: inForce, Logger: event.NewLogger(log),
+			Reachable: func(string) bool { return false }, Announce: func() {},
+		})
+		inForce.Set(view(1, "a"))
+		d.Reported("p", "a", rollout.LoadReport{Loaded: map[rollout.ModelName]rollout.WeightVersion{"m": 1}})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = d.Run(ctx)
+		}()
+		d.Views(ctx)
+		_, err := acquire(t, d, ask(2, 0), 5*time.Millisecond)
 		assert.True(t, "no grant for weights that are too old", err != nil)
+		cancel()
+		<-ended
 	}
 }
 
