jobs: read the index only where it is needed, submissions apart

Ruled out: processor time (1.3 % of a core a VM) and the writing side (2 lines of event 726 before 30 s).

Change: submissions lie in a topic of their own; the index has a small acceptance instead. A VM follows a partition while it owns it, gives the orders, or a caller waits there; else it reads on when it is asked. A submission whose acceptance was not written does not exist, so a lost reply to it is now a true NotRun. Chunks of a submission leave the fold.

TestIdleVMsDoNotRead fails when every VM follows (7 VMs read, 5 allowed).

TestLargeSubmission tested the fold's chunks, which are gone; TestSubmission asks the same of splitting and joining, and that a submission of another job is refused. TestUncertainSubmissionIsNotRefused loses the replies of the acceptance; a second case checks that nothing runs when only the submission may be there.

--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -136,7 +136,7 @@
 		Dispatch: g.dispatch, Fleet: g.fleet, InForce: inForce, Owner: g.owner, Logger: c.Logger, Metrics: c.Metrics,
 	})
 	g.swaps = swaps.New(swaps.Config{
-		VM: c.VM, Journal: c.Journal, Control: c.Control, Fleet: g.fleet, Leads: g.leads, Plan: g.keeper.Plan, ChecksFence: c.ChecksFence,
+		VM: c.VM, Journal: c.Journal, Control: c.Control, Fleet: g.fleet, Leads: g.keeper.Leads, Plan: g.keeper.Plan, ChecksFence: c.ChecksFence,
 		Lease: c.OrderLease, Logger: c.Logger,
 	})
 	requests := relay.New(relay.Config{InForce: inForce, Dispatch: g.dispatch, Forwarder: c.Forwarder, Logger: c.Logger, Metrics: c.Metrics})
@@ -144,17 +144,6 @@
 	return g
 }
 
-// leads reports whether this VM gives the orders to engines: it owns the first
-// partition.
-func (g *Gateway) leads() bool {
-	for _, p := range g.owner.Current().Partitions {
-		if p.Number == 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // ready reports whether the balancer may send new connections.
 func (g *Gateway) ready() bool {
 	select {
--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -263,9 +263,11 @@
 func TestStoreLosesReplies(t *testing.T) {
 	d := deploy(t, 3, time.Millisecond, "a", "b")
 	s := newJob("replies", 10, 1)
-	d.store.LoseReplies(2)
+	d.store.LoseReplies(job.TopicSubmission, 2)
+	d.store.LoseReplies(job.TopicIndex, 2)
 	d.submit(t, "a", s)
-	d.store.LoseReplies(3)
+	d.store.LoseReplies(job.TopicIndex, 3)
+	d.store.LoseReplies(job.TopicText, 3)
 	first := d.whole(t, "a", s)
 	assert.Equal(t, "results at the other VM", d.whole(t, "b", s), first)
 }
@@ -287,10 +289,45 @@
 }
 
 func TestUncertainSubmissionIsNotRefused(t *testing.T) {
-	d := deploy(t, 3, time.Millisecond, "a")
-	d.store.LoseReplies(100)
-	err := d.faces["a"].keeper.Submit(context.Background(), newJob("maybe", 2, 1))
-	assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.MayHaveRun)
+	t.Run("its acceptance may be there", func(t *testing.T) {
+		d := deploy(t, 3, time.Millisecond, "a")
+		d.store.LoseReplies(job.TopicIndex, 100)
+		err := d.faces["a"].keeper.Submit(context.Background(), newJob("maybe", 2, 1))
+		assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.MayHaveRun)
+	})
+	t.Run("only the submission may be there", func(t *testing.T) {
+		d := deploy(t, 3, time.Millisecond, "a")
+		d.store.LoseReplies(job.TopicSubmission, 100)
+		err := d.faces["a"].keeper.Submit(context.Background(), newJob("never", 2, 1))
+		assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.NotRun)
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, "runs of a refused job", d.engines.Runs("never-0"), 0)
+	})
+}
+
+// TestIdleVMsDoNotRead runs jobs beside VMs that own no partition and are asked
+// nothing: they must not read the index, for all VMs share the store's rate.
+func TestIdleVMsDoNotRead(t *testing.T) {
+	vms := []rollout.VMName{"a", "b", "c", "d", "e", "f", "g"}
+	d := deploy(t, 20, time.Millisecond, vms...)
+	time.Sleep(200 * time.Millisecond)
+	var all []job.Submission
+	for n := range partitions * 2 {
+		all = append(all, newJob(fmt.Sprint("idle", n), 10, 1))
+		d.submit(t, "a", all[n])
+	}
+	for _, s := range all {
+		d.whole(t, "a", s)
+	}
+	reading, submissions := 0, 0
+	for _, vm := range vms {
+		if d.store.Reads(vm, job.TopicIndex) > 0 {
+			reading++
+		}
+		submissions += d.store.Reads(vm, job.TopicSubmission)
+	}
+	assert.AtMost(t, "VMs that read the index: the owners and the one that was asked", reading, partitions+1)
+	assert.AtMost(t, "reads of submissions", submissions, 2*len(all))
 }
 
 func TestEndedJobIsNotRun(t *testing.T) {
--- a/lagoonlink/internal/jobs/answers.go
+++ b/lagoonlink/internal/jobs/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lagoonlink.org/lagoonlink/internal/event"
@@ -30,11 +31,20 @@
 	if _, known := p.job(s.ID); known {
 		return nil
 	}
-	records, err := job.Encode(job.Record{Submission: &s}, k.config.RecordBytes)
+	data, err := job.EncodeSubmission(&s)
 	if err != nil {
 		return rollout.Refuse(rollout.ReasonBadRequest, "%v", err)
 	}
-	if err := k.append(ctx, p.id, records); err != nil {
+	parts := job.Split(data, k.config.RecordBytes)
+	first, err := k.append(ctx, rollout.Partition{Topic: job.TopicSubmission, Number: p.id.Number}, parts)
+	if err != nil {
+		// Nothing runs without the acceptance below.
+		f := *rollout.FailureOf(err)
+		f.Verdict = rollout.NotRun
+		return &f
+	}
+	place := job.Place{Partition: p.id.Number, Offset: first, Bytes: len(data), Records: len(parts)}
+	if err := k.appendIndex(ctx, p, job.Record{Accepted: s.Accept(place)}); err != nil {
 		return err
 	}
 	k.config.Logger.Write(event.JobAccepted, event.Fields{
@@ -43,15 +53,16 @@
 	return nil
 }
 
-// append appends records for a caller. Records may be there twice afterwards,
-// which the fold allows. Once a try may have succeeded, a failure is never one
-// that promises that nothing was done.
-func (k *Keeper) append(ctx context.Context, p rollout.Partition, records [][]byte) error {
+// append appends records for a caller and returns the offset of the first. The
+// records may be there twice afterwards, which the fold allows. Once a try may have
+// succeeded, a failure is never one that promises that nothing was done.
+func (k *Keeper) append(ctx context.Context, p rollout.Partition, records [][]byte) (rollout.Offset, error) {
 	verdict := rollout.NotRun
 	var err error
 	for range appendTries {
-		if _, err = k.config.Journal.Append(ctx, p, records); err == nil {
-			return nil
+		var first rollout.Offset
+		if first, err = k.config.Journal.Append(ctx, p, records); err == nil {
+			return first, nil
 		}
 		if rollout.VerdictOf(err) != rollout.NotRun {
 			verdict = rollout.MayHaveRun
@@ -59,7 +70,17 @@
 		pause.For(ctx, appendPause)
 	}
 	f := rollout.Fail(verdict, rollout.ReasonLogUnavailable, err)
-	return f.WithRetryAfter(storeRetryAfter)
+	return 0, f.WithRetryAfter(storeRetryAfter)
+}
+
+// appendIndex appends a record to a partition of the index for a caller.
+func (k *Keeper) appendIndex(ctx context.Context, p *partition, r job.Record) error {
+	data, err := job.Encode(r)
+	if err != nil {
+		return rollout.Fail(rollout.NotRun, rollout.ReasonInternal, err)
+	}
+	_, err = k.append(ctx, p.id, [][]byte{data})
+	return err
 }
 
 func (p *partition) job(id string) (job.Job, bool) {
@@ -109,7 +130,7 @@
 		return job.Results{}, rollout.Refuse(rollout.ReasonLogUnavailable, "%v", err).WithRetryAfter(storeRetryAfter)
 	}
 	for i, r := range listed {
-		out.Results = append(out.Results, job.Listed{Sample: j.SampleID(r.Index), Outcome: r.Outcome, Text: texts[i], Versions: r.Versions})
+		out.Results = append(out.Results, job.Listed{Sample: r.Sample, Outcome: r.Outcome, Text: texts[i], Versions: r.Versions})
 	}
 	out.Next = after + len(out.Results)
 	return out, nil
@@ -131,6 +152,9 @@
 func (k *Keeper) await(ctx context.Context, j job.Job, after int, wait time.Duration) (job.Job, error) {
 	p := k.of(j.ID)
 	end := time.Now().Add(wait)
+	if wait > 0 {
+		p.want()
+	}
 	for {
 		p.mu.Lock()
 		changed, read := p.changed, p.read
@@ -167,15 +191,15 @@
 	if err != nil {
 		return nil, err
 	}
-	index, ok := j.Find(sample)
-	if !ok {
-		return nil, rollout.Refuse(rollout.ReasonStepUnknown, "job %s has no sample %s", id, sample)
-	}
-	s, err := k.submission(ctx, &j)
+	s, err := k.submission(ctx, &j.Accepted)
 	if err != nil {
 		return nil, rollout.Refuse(rollout.ReasonLogUnavailable, "%v", err).WithRetryAfter(storeRetryAfter)
 	}
-	return s.Samples[index].Body, nil
+	i := slices.IndexFunc(s.Samples, func(e job.Sample) bool { return e.ID == sample })
+	if i < 0 {
+		return nil, rollout.Refuse(rollout.ReasonStepUnknown, "job %s has no sample %s", id, sample)
+	}
+	return s.Samples[i].Body, nil
 }
 
 // End ends a job.
@@ -184,9 +208,5 @@
 	if err != nil || j.Ended {
 		return err
 	}
-	records, err := job.Encode(job.Record{End: &job.End{Job: id}}, k.config.RecordBytes)
-	if err != nil {
-		return rollout.Fail(rollout.NotRun, rollout.ReasonInternal, err)
-	}
-	return k.append(ctx, k.of(id).id, records)
+	return k.appendIndex(ctx, k.of(id), job.Record{End: &job.End{Job: id}})
 }
--- a/lagoonlink/internal/jobs/keeper.go
+++ b/lagoonlink/internal/jobs/keeper.go
@@ -1,5 +1,5 @@
 // Package jobs is the duty that keeps jobs and runs their samples. Every entry VM
-// follows the index of all jobs and answers for each of them; the owner of a
+// answers for all jobs and reads their index as far as it needs it; the owner of a
 // job's partition runs its samples. What was acknowledged lies in the journal.
 package jobs
 
@@ -35,6 +35,9 @@
 	spacing = 60 * time.Millisecond
 	// followRetry is the pause after a failed read.
 	followRetry = 200 * time.Millisecond
+	// wantedFor is how long a partition is followed after a caller waited: the
+	// longest wait of a caller and a little more.
+	wantedFor = 1500 * time.Millisecond
 	// fresh is how old a read may be for its partition to count as up to date.
 	// An answer may be a second behind.
 	fresh = 400 * time.Millisecond
@@ -70,6 +73,10 @@
 	fold *job.Fold
 	// read is when the partition was last read to its end.
 	read time.Time
+	// wanted is when a caller last waited for a record.
+	wanted time.Time
+	// woken asks the follower to look again whether it should read.
+	woken chan struct{}
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -87,7 +94,8 @@
 	k := &Keeper{config: c}
 	for n := range c.Partitions {
 		k.partitions = append(k.partitions, &partition{
-			id: rollout.Partition{Topic: job.TopicIndex, Number: n}, fold: job.NewFold(), changed: make(chan struct{}),
+			id: rollout.Partition{Topic: job.TopicIndex, Number: n}, fold: job.NewFold(),
+			changed: make(chan struct{}), woken: make(chan struct{}, 1),
 		})
 		k.writers = append(k.writers, newWriter(c, n))
 	}
@@ -95,6 +103,21 @@
 	return k
 }
 
+// want keeps the partition followed for a while, for a caller waits for a record.
+func (p *partition) want() {
+	p.mu.Lock()
+	p.wanted = time.Now()
+	p.mu.Unlock()
+	p.wake()
+}
+
+func (p *partition) wake() {
+	select {
+	case p.woken <- struct{}{}:
+	default:
+	}
+}
+
 func (p *partition) next() rollout.Offset {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -120,10 +143,17 @@
 	return nil
 }
 
-// follow reads a partition until the context ends.
+// follow reads a partition while this VM needs it, until the context ends.
 func (k *Keeper) follow(ctx context.Context, p *partition) {
 	failing, wait := false, followShort
 	for ctx.Err() == nil {
+		if !k.needs(p) {
+			select {
+			case <-p.woken:
+			case <-ctx.Done():
+			}
+			continue
+		}
 		before := p.next()
 		_, err := k.read(ctx, p, wait)
 		if wait = min(2*wait, followLong); p.next() > before {
@@ -148,6 +178,23 @@
 	}
 }
 
+// needs reports whether this VM follows a partition: it runs the samples there, it
+// gives the orders to engines and learns from all submissions how far behind they
+// may be, or a caller waited lately. Following costs the store reads, and all VMs
+// share its rate; a VM that does not follow reads on when it is asked.
+func (k *Keeper) needs(p *partition) bool {
+	if k.owns(p.id.Number) || k.Leads() {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.wanted) < wantedFor
+}
+
+// Leads reports whether this VM gives the orders to engines: it owns the first
+// partition.
+func (k *Keeper) Leads() bool { return k.owns(0) }
+
 func (k *Keeper) owns(number int) bool {
 	for _, p := range k.config.Owner.Current().Partitions {
 		if p.Topic == job.TopicIndex && p.Number == number {
@@ -187,7 +234,7 @@
 			p.fold.Bad(e.Offset)
 			continue
 		}
-		if ev, changed := p.fold.Apply(e.Offset, len(e.Data), record); changed {
+		if ev, changed := p.fold.Apply(e.Offset, record); changed {
 			events = append(events, ev)
 		}
 	}
--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -97,6 +97,7 @@
 	}
 	r.mu.Unlock()
 	for n, p := range k.partitions {
+		p.wake()
 		if k.owns(n) && r.enter() {
 			r.group.Go(func() { r.adopt(ctx, n, p) })
 			r.group.Done()
@@ -125,50 +126,63 @@
 		}
 	}
 	p.mu.Lock()
-	var open []job.Job
+	var open []*job.Accepted
 	for _, j := range p.fold.Jobs() {
 		if !j.Ended && !j.Complete() {
-			open = append(open, *j)
+			open = append(open, &j.Accepted)
 		}
 	}
 	p.mu.Unlock()
-	for i := range open {
-		r.mu.Lock()
-		running := r.runs[open[i].ID] != nil
-		r.mu.Unlock()
-		if running {
-			continue
+	for _, j := range open {
+		r.group.Go(func() { r.take(number, j) })
+	}
+}
+
+// take reads a job's submission and starts it, unless it runs already.
+func (r *runner) take(number int, j *job.Accepted) {
+	r.mu.Lock()
+	ctx, running := r.ctx, r.runs[j.ID] != nil
+	r.mu.Unlock()
+	if running {
+		return
+	}
+	for {
+		s, err := r.keeper.submission(ctx, j)
+		if err == nil {
+			r.keeper.readFragments(ctx)
+			r.start(number, s)
+			return
 		}
-		s, err := r.keeper.submission(ctx, &open[i])
-		if err != nil {
-			r.keeper.config.Logger.Write(event.JournalUnreadable, event.Fields{"Partition": p.id, "Job": open[i].ID, "Error": err})
-			continue
+		r.keeper.config.Logger.Write(event.JournalUnreadable, event.Fields{"Partition": j.Submission.Partition, "Job": j.ID, "Error": err})
+		var trimmed *rollout.TrimmedError
+		if pause.For(ctx, followRetry); errors.As(err, &trimmed) || ctx.Err() != nil || !r.keeper.owns(number) {
+			return
 		}
-		r.start(number, s)
 	}
 }
 
 // happened takes what a record changed.
 func (r *runner) happened(number int, e job.Event) {
 	switch {
-	case e.Submission != nil:
-		r.learn(e.Submission)
-		if r.keeper.owns(number) {
-			r.start(number, e.Submission)
+	case e.First:
+		r.learn(e.Job)
+		if r.keeper.owns(number) && r.enter() {
+			r.group.Go(func() { r.take(number, e.Job) })
+			r.group.Done()
 		}
-	case e.Ended || e.Job.Complete():
+	case e.Ended || e.Complete:
 		r.mu.Lock()
 		if u := r.runs[e.Job.ID]; u != nil {
 			u.cancel(errEnded)
 			delete(r.runs, e.Job.ID)
-			r.keeper.config.Logger.Write(event.JobEnded, event.Fields{"Job": e.Job.ID, "Ended": e.Ended, "Listed": len(e.Job.Listed), "Total": e.Job.Total})
+			r.keeper.config.Logger.Write(event.JobEnded, event.Fields{"Job": e.Job.ID, "Ended": e.Ended, "Listed": e.Listed, "Total": e.Job.Total})
 		}
 		r.mu.Unlock()
 	}
 }
 
 // learn notes how far behind the newest version a model's samples may be.
-func (r *runner) learn(s *job.Submission) {
+func (r *runner) learn(s *job.Accepted) {
 	if time.Since(s.At) > recent {
 		return
 	}
@@ -266,6 +280,26 @@
 	return routing.Choose(route, xxh3.HashString(s.ID)), route
 }
 
+// readFragments reads all partitions on to their ends, for a sample may have left
+// its text with a job of any of them.
+func (k *Keeper) readFragments(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, p := range k.partitions {
+		if k.owns(p.id.Number) {
+			continue
+		}
+		group.Go(func() {
+			if err := k.catchUp(ctx, p); err != nil {
+				// Samples whose texts are not found are made from their start.
+				k.config.Logger.Write(event.JournalUnreadable, event.Fields{"Partition": p.id, "Error": err})
+			}
+		})
+	}
+	group.Wait()
+}
+
 // fragment returns the longest text kept of a broken-off sample.
 func (k *Keeper) fragment(sample string) (job.Fragment, bool) {
 	var best job.Fragment
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -93,11 +93,11 @@
 
 // fragmentOf returns the text so far, to be kept.
 func fragmentOf(s *job.Sample, p *job.Progress) ended {
-	return ended{text: slices.Clone(p.Text()), fragment: &job.Fragment{Sample: s.ID, Pieces: p.Pieces(), Versions: p.Versions()}}
+	return ended{text: slices.Clone(p.Text()), fragment: &job.Fragment{Sample: s.ID, At: time.Now(), Pieces: p.Pieces(), Versions: p.Versions()}}
 }
 
 func (r *runner) finish(u *run, index int, outcome job.Outcome, p *job.Progress, t *try) {
-	result := &job.Result{Job: u.job.ID, Index: index, Outcome: outcome, Versions: p.Versions()}
+	result := &job.Result{Job: u.job.ID, Sample: t.sample.ID, Index: index, Outcome: outcome, Versions: p.Versions()}
 	text := p.Text()
 	if outcome != job.Done {
 		text, result.Versions = nil, nil
--- a/lagoonlink/internal/jobs/sample_test.go
+++ b/lagoonlink/internal/jobs/sample_test.go
@@ -55,7 +55,7 @@
 	})
 	s := &job.Submission{ID: "j", Host: "h", Model: "m", At: time.Now(), Retention: time.Minute, Samples: []job.Sample{{ID: "a", Path: "/"}, {ID: "b", Path: "/"}}}
 	runContext, end := context.WithCancelCause(ctx)
-	u := &run{job: &job.Job{ID: "j"}, submission: s, ctx: runContext, cancel: end}
+	u := &run{job: &job.Job{Accepted: job.Accepted{ID: "j"}}, submission: s, ctx: runContext, cancel: end}
 	var tickets []*dispatch.Ticket
 	for i := range s.Samples {
 		ticket, err := d.Enqueue(k.runner.ask(u, &s.Samples[i], nil))
--- a/lagoonlink/internal/jobs/texts.go
+++ b/lagoonlink/internal/jobs/texts.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -65,22 +66,13 @@
 const recordOverhead = 16
 
 // submission reads a job's submission.
-func (k *Keeper) submission(ctx context.Context, j *job.Job) (*job.Submission, error) {
-	parts, err := k.readRecords(ctx, k.of(j.ID).id, j.Place.Offset, j.Place.Records, j.Place.Bytes)
+func (k *Keeper) submission(ctx context.Context, j *job.Accepted) (*job.Submission, error) {
+	at := j.Submission
+	parts, err := k.readRecords(ctx, rollout.Partition{Topic: job.TopicSubmission, Number: at.Partition}, at.Offset, at.Records, at.Bytes)
 	if err != nil {
 		return nil, err
 	}
-	fold := job.NewFold()
-	for i, data := range parts {
-		r, err := job.Decode(data)
-		if err != nil {
-			return nil, err
-		}
-		if ev, ok := fold.Apply(rollout.Offset(i), len(data), r); ok && ev.Submission != nil {
-			return ev.Submission, nil
-		}
-	}
-	return nil, fmt.Errorf("job %s: no submission at offset %d", j.ID, j.Place.Offset)
+	return job.DecodeSubmission(bytes.Join(parts, nil), j)
 }
 
 // Numbers of writing.
@@ -177,13 +169,11 @@
 func (w *writer) write(ctx context.Context, batch []ended) {
 	var texts [][]byte
 	for i := range batch {
-		place := job.Place{Partition: w.number, Offset: rollout.Offset(len(texts)), Bytes: len(batch[i].text)}
-		for rest := batch[i].text; len(rest) > 0; {
-			n := min(len(rest), w.config.RecordBytes)
-			texts, rest = append(texts, rest[:n]), rest[n:]
-			place.Records++
-		}
-		batch[i].setPlace(place)
+		parts := job.Split(batch[i].text, w.config.RecordBytes)
+		batch[i].setPlace(job.Place{
+			Partition: w.number, Offset: rollout.Offset(len(texts)), Bytes: len(batch[i].text), Records: len(parts),
+		})
+		texts = append(texts, parts...)
 	}
 	var first rollout.Offset
 	if len(texts) > 0 {
@@ -200,12 +190,12 @@
 		} else {
 			r.Fragment.Text.Offset += first
 		}
-		encoded, err := job.Encode(r, w.config.RecordBytes)
+		encoded, err := job.Encode(r)
 		if err != nil {
 			w.config.Logger.Write(event.JournalUnwritable, event.Fields{"Partition": w.number, "Error": err})
 			continue
 		}
-		records = append(records, encoded...)
+		records = append(records, encoded)
 	}
 	w.append(ctx, rollout.Partition{Topic: job.TopicIndex, Number: w.number}, records)
 }
--- a/lagoonlink/internal/standin/journal.go
+++ b/lagoonlink/internal/standin/journal.go
@@ -18,7 +18,10 @@
 	records map[rollout.Partition][][]byte
 	changed chan struct{}
 	down    map[rollout.VMName]bool
-	lost    int
+	// lost counts the appends of each topic that will succeed without an answer,
+	// reads those calls that a VM made to read a topic.
+	lost    map[string]int
+	reads   map[rollout.VMName]map[string]int
 	members []rollout.VMName
 	// generation counts the changes of the group.
 	generation uint64
@@ -29,7 +32,7 @@
 func NewStore(partitions int) *Store {
 	return &Store{
 		records: map[rollout.Partition][][]byte{}, changed: make(chan struct{}),
-		down: map[rollout.VMName]bool{}, partitions: partitions,
+		down: map[rollout.VMName]bool{}, lost: map[string]int{}, reads: map[rollout.VMName]map[string]int{}, partitions: partitions,
 	}
 }
 
@@ -40,11 +43,18 @@
 	s.down[vm] = down
 }
 
-// LoseReplies makes the next appends succeed without an answer.
-func (s *Store) LoseReplies(count int) {
+// LoseReplies makes the next appends to a topic succeed without an answer.
+func (s *Store) LoseReplies(topic string, count int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lost = count
+	s.lost[topic] = count
+}
+
+// Reads returns how many calls a VM made to read a topic.
+func (s *Store) Reads(vm rollout.VMName, topic string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[vm][topic]
 }
 
 // Records returns a copy of a partition.
@@ -93,8 +103,8 @@
 	}
 	first := rollout.Offset(len(s.records[p]))
 	s.add(p, records)
-	if s.lost > 0 {
-		s.lost--
+	if s.lost[p.Topic] > 0 {
+		s.lost[p.Topic]--
 		return 0, rollout.Fail(rollout.MayHaveRun, rollout.ReasonLogUnavailable, context.DeadlineExceeded)
 	}
 	return first, nil
@@ -126,6 +136,12 @@
 // Read implements rollout.Journal.
 func (a *Access) Read(ctx context.Context, p rollout.Partition, from rollout.Offset, maxBytes int, wait time.Duration) (rollout.ReadResult, error) {
 	s := a.store
+	s.mu.Lock()
+	if s.reads[a.vm] == nil {
+		s.reads[a.vm] = map[string]int{}
+	}
+	s.reads[a.vm][p.Topic]++
+	s.mu.Unlock()
 	timeout := time.After(wait)
 	for {
 		s.mu.Lock()
--- a/rollout/job/fold_test.go
+++ b/rollout/job/fold_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"bytes"
 	"fmt"
 	"reflect"
 	"testing"
@@ -31,35 +32,38 @@
 	t.Helper()
 	var events []job.Event
 	for _, r := range records {
-		parts, err := job.Encode(r, 1<<20)
+		data, err := job.Encode(r)
 		assert.NoError(t, "encode", err)
-		for _, data := range parts {
-			decoded, err := job.Decode(data)
-			assert.NoError(t, "decode", err)
-			if e, changed := f.Apply(from, len(data), decoded); changed {
-				events = append(events, e)
-			}
-			from++
+		decoded, err := job.Decode(data)
+		assert.NoError(t, "decode", err)
+		if e, changed := f.Apply(from, decoded); changed {
+			events = append(events, e)
 		}
+		from++
 	}
 	return events
 }
 
+// accepted is the acceptance of a job with a number of samples.
+func accepted(id string, samples int) job.Record {
+	return job.Record{Accepted: submission(id, samples).Accept(job.Place{Records: 1})}
+}
+
 func result(id string, index int, offset rollout.Offset) job.Record {
-	return job.Record{Result: &job.Result{Job: id, Index: index, Versions: []rollout.WeightVersion{1}, Text: job.Place{Offset: offset, Records: 1}}}
+	return job.Record{Result: &job.Result{Job: id, Sample: fmt.Sprintf("%s-%d", id, index), Index: index, Versions: []rollout.WeightVersion{1}, Text: job.Place{Offset: offset, Records: 1}}}
 }
 
 func TestFirstRecordCounts(t *testing.T) {
 	t.Run("a job is accepted once", func(t *testing.T) {
 		f := job.NewFold()
-		events := apply(t, f, 0, job.Record{Submission: submission("a", 2)}, job.Record{Submission: submission("a", 3)})
+		events := apply(t, f, 0, accepted("a", 2), accepted("a", 3))
 		assert.Equal(t, "events", len(events), 1)
 		j, _ := f.Job("a")
 		assert.Equal(t, "samples", j.Total, 2)
 	})
 	t.Run("a sample has one result", func(t *testing.T) {
 		f := job.NewFold()
-		apply(t, f, 0, job.Record{Submission: submission("a", 2)}, result("a", 1, 10), result("a", 1, 20), result("a", 0, 30))
+		apply(t, f, 0, accepted("a", 2), result("a", 1, 10), result("a", 1, 20), result("a", 0, 30))
 		j, _ := f.Job("a")
 		assert.Equal(t, "listed", len(j.Listed), 2)
 		assert.Equal(t, "first position", j.Listed[0].Text.Offset, 10)
@@ -68,19 +72,19 @@
 	})
 	t.Run("results without a job or a sample change nothing", func(t *testing.T) {
 		f := job.NewFold()
-		events := apply(t, f, 0, result("b", 0, 1), job.Record{Submission: submission("a", 1)}, result("a", 1, 1), result("a", -1, 1))
+		events := apply(t, f, 0, result("b", 0, 1), accepted("a", 1), result("a", 1, 1), result("a", -1, 1))
 		assert.Equal(t, "events", len(events), 1)
 	})
 	t.Run("a job ends once and may still get results", func(t *testing.T) {
 		f := job.NewFold()
 		end := job.Record{End: &job.End{Job: "a"}}
-		events := apply(t, f, 0, job.Record{Submission: submission("a", 1)}, end, end, result("a", 0, 1))
+		events := apply(t, f, 0, accepted("a", 1), end, end, result("a", 0, 1))
 		assert.Equal(t, "events", len(events), 3)
 	})
 	t.Run("records that were read before change nothing", func(t *testing.T) {
 		f := job.NewFold()
-		apply(t, f, 0, job.Record{Submission: submission("a", 2)}, result("a", 0, 1))
-		assert.Equal(t, "events", len(apply(t, f, 0, job.Record{Submission: submission("a", 2)}, result("a", 1, 1))), 0)
+		apply(t, f, 0, accepted("a", 2), result("a", 0, 1))
+		assert.Equal(t, "events", len(apply(t, f, 0, accepted("a", 2), result("a", 1, 1))), 0)
 	})
 }
 
@@ -93,7 +97,7 @@
 			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "job")
 			switch rapid.IntRange(0, 4).Draw(t, "kind") {
 			case 0:
-				log = append(log, job.Record{Submission: submission(id, 4)})
+				log = append(log, accepted(id, 4))
 			case 1:
 				log = append(log, job.Record{End: &job.End{Job: id}})
 			default:
@@ -103,7 +107,7 @@
 		first, second := job.NewFold(), job.NewFold()
 		seen := map[string][]job.Result{}
 		for at, r := range log {
-			first.Apply(rollout.Offset(at), 1, r)
+			first.Apply(rollout.Offset(at), r)
 			for _, j := range first.Jobs() {
 				before := seen[j.ID]
 				if len(j.Listed) < len(before) {
@@ -114,11 +118,11 @@
 			}
 		}
 		for at := 0; at < len(log); at++ {
-			second.Apply(rollout.Offset(at), 1, log[at])
+			second.Apply(rollout.Offset(at), log[at])
 			if rapid.Bool().Draw(t, "read again") {
 				at = max(-1, at-rapid.IntRange(0, 3).Draw(t, "back"))
 				for back := at + 1; back >= 0 && back < len(log) && rollout.Offset(back) < second.Next(); back++ {
-					second.Apply(rollout.Offset(back), 1, log[back])
+					second.Apply(rollout.Offset(back), log[back])
 					at = back
 				}
 			}
@@ -140,53 +144,56 @@
 	}
 }
 
-func TestLargeSubmission(t *testing.T) {
+func TestSubmission(t *testing.T) {
 	s := submission("a", 40)
+	s.At = epoch.Add(856 * time.Millisecond)
 	for i := range s.Samples {
 		s.Samples[i].Body = make([]byte, 1000)
+		s.Samples[i].Body[0] = byte(i)
 	}
-	parts, err := job.Encode(job.Record{Submission: s}, 4096)
+	data, err := job.EncodeSubmission(s)
 	assert.NoError(t, "encode", err)
+	parts := job.Split(data, 4096)
 	assert.True(t, "several records", len(parts) > 5)
-	fold := func(parts [][]byte) (*job.Fold, int) {
-		f, events := job.NewFold(), 0
-		for i, data := range parts {
-			assert.AtMost(t, "bytes of a record", len(data), 4096)
-			r, err := job.Decode(data)
-			assert.NoError(t, "decode", err)
-			if e, ok := f.Apply(rollout.Offset(i), len(data), r); ok && e.Submission != nil {
-				events++
-				assert.Equal(t, "submission", e.Submission.Samples[39].Body, s.Samples[39].Body)
-			}
-		}
-		return f, events
+	for _, part := range parts {
+		assert.AtMost(t, "bytes of a record", len(part), 4096)
 	}
+	j := s.Accept(job.Place{})
 	t.Run("whole", func(t *testing.T) {
-		f, events := fold(parts)
-		assert.Equal(t, "submissions", events, 1)
-		j, _ := f.Job("a")
-		assert.Equal(t, "records", j.Place.Records, len(parts))
-		assert.Equal(t, "first record", j.Place.Offset, 0)
-	})
-	t.Run("twice", func(t *testing.T) {
-		_, events := fold(append(append([][]byte(nil), parts...), parts...))
-		assert.Equal(t, "submissions", events, 1)
+		got, err := job.DecodeSubmission(bytes.Join(parts, nil), j)
+		assert.NoError(t, "decode", err)
+		assert.True(t, "the same", reflect.DeepEqual(got.Samples, s.Samples))
+		assert.True(t, "the time of acceptance", got.At.Equal(s.At))
 	})
 	t.Run("without its first record", func(t *testing.T) {
-		_, events := fold(parts[1:])
-		assert.Equal(t, "submissions", events, 0)
+		_, err := job.DecodeSubmission(bytes.Join(parts[1:], nil), j)
+		assert.ErrorHas(t, "decode", err, "submission a")
+	})
+	t.Run("without its last record", func(t *testing.T) {
+		_, err := job.DecodeSubmission(bytes.Join(parts[:len(parts)-1], nil), j)
+		assert.ErrorHas(t, "decode", err, "submission a")
+	})
+	t.Run("of another job", func(t *testing.T) {
+		_, err := job.DecodeSubmission(data, submission("b", 40).Accept(job.Place{}))
+		assert.ErrorHas(t, "decode", err, "got job a")
+	})
+	t.Run("with another number of samples", func(t *testing.T) {
+		_, err := job.DecodeSubmission(data, submission("a", 39).Accept(job.Place{}))
+		assert.ErrorHas(t, "decode", err, "40 samples")
 	})
 }
 
 func TestTimeIsExact(t *testing.T) {
 	s := submission("a", 1)
 	s.At = epoch.Add(856 * time.Millisecond)
-	events := apply(t, job.NewFold(), 0, job.Record{Submission: s})
-	assert.True(t, "the time of acceptance", events[0].Submission.At.Equal(s.At))
+	events := apply(t, job.NewFold(), 0, job.Record{Accepted: s.Accept(job.Place{})})
+	assert.True(t, "the time of acceptance", events[0].Job.At.Equal(s.At))
 }
 
 func TestDecodeRefuses(t *testing.T) {
-	both, err := job.Encode(job.Record{End: &job.End{Job: "a"}, Result: &job.Result{Job: "a"}}, 1<<20)
+	both, err := job.Encode(job.Record{End: &job.End{Job: "a"}, Result: &job.Result{Job: "a"}})
+	assert.NoError(t, "encode", err)
+	none, err := job.Encode(accepted("a", 0))
 	assert.NoError(t, "encode", err)
 	for name, c := range map[string]struct {
 		data []byte
@@ -194,7 +201,8 @@
 	}{
 		"not CBOR":     {[]byte("{"), "decode"},
 		"other schema": {[]byte{0xa1, 0x66, 'S', 'c', 'h', 'e', 'm', 'a', 9}, "schema 9"},
-		"two parts":    {both[0], "2 parts"},
+		"two parts":    {both, "2 parts"},
+		"no samples":   {none, "0 samples"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := job.Decode(c.data)
@@ -205,23 +213,27 @@
 
 func TestFragments(t *testing.T) {
 	fragment := func(pieces int) job.Record {
-		return job.Record{Fragment: &job.Fragment{Sample: "a-0", Pieces: pieces, Versions: []rollout.WeightVersion{2}}}
+		return job.Record{Fragment: &job.Fragment{Sample: "a-0", At: epoch, Pieces: pieces, Versions: []rollout.WeightVersion{2}}}
 	}
 	f := job.NewFold()
-	apply(t, f, 0, job.Record{Submission: submission("a", 1)}, fragment(5), fragment(9), fragment(7))
+	apply(t, f, 0, accepted("a", 1), fragment(5), fragment(9), fragment(7))
 	g, ok := f.Fragment("a-0")
 	assert.True(t, "known", ok)
 	assert.Equal(t, "longest", g.Pieces, 9)
 	apply(t, f, f.Next(), result("a", 0, 1))
 	_, ok = f.Fragment("a-0")
 	assert.True(t, "dropped with the result", !ok)
+	apply(t, f, f.Next(), fragment(3))
+	f.Forget(epoch.Add(time.Minute))
+	_, ok = f.Fragment("a-0")
+	assert.True(t, "forgotten", !ok)
 }
 
 func TestForget(t *testing.T) {
 	f := job.NewFold()
 	young := submission("b", 1)
 	young.At = epoch.Add(time.Hour)
-	apply(t, f, 0, job.Record{Submission: submission("a", 1)}, job.Record{Submission: young})
+	apply(t, f, 0, accepted("a", 1), job.Record{Accepted: young.Accept(job.Place{})})
 	f.Forget(epoch.Add(time.Minute))
 	_, old := f.Job("a")
 	_, kept := f.Job("b")
@@ -230,14 +242,14 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	for _, r := range []job.Record{{Submission: submission("a", 1)}, result("a", 0, 1), {End: &job.End{Job: "a"}}} {
-		parts, err := job.Encode(r, 1<<20)
+	for _, r := range []job.Record{accepted("a", 1), result("a", 0, 1), {End: &job.End{Job: "a"}}} {
+		data, err := job.Encode(r)
 		assert.NoError(f, "encode", err)
-		f.Add(parts[0])
+		f.Add(data)
 	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		if r, err := job.Decode(data); err == nil {
-			job.NewFold().Apply(0, len(data), r)
+			job.NewFold().Apply(0, r)
 		}
 	})
 }
--- a/rollout/job/record.go
+++ b/rollout/job/record.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -16,16 +17,24 @@
 )
 
 // Schema is the schema of the records that this program writes and reads.
-const Schema = 1
+const Schema = 2
 
 // Topics of the journal.
 const (
-	// TopicIndex holds submissions, the places of results, and ends.
+	// TopicIndex holds what was accepted, the places of results, and ends: small
+	// records that any VM may have to read.
 	TopicIndex = "jobs"
+	// TopicSubmission holds the submissions themselves, which only the VM that runs
+	// a job's samples and reads of bodies need.
+	TopicSubmission = "submissions"
 	// TopicText holds the texts of results and of samples that were broken off.
 	TopicText = "texts"
 )
 
+// maxSamples bounds the samples of one job: sixty times the largest step of the
+// design size.
+const maxSamples = 1 << 16
+
 // PartitionOf returns the partition that holds everything of a job.
 func PartitionOf(id string, partitions int) int {
 	return int(xxh3.HashString(id) % uint64(max(1, partitions)))
@@ -63,6 +72,28 @@
 	Retention time.Duration
 }
 
+// Accepted tells that a submission was accepted. A submission whose Accepted was
+// never written does not exist.
+type Accepted struct {
+	ID         string
+	Host       string
+	Model      rollout.ModelName
+	MinVersion rollout.WeightVersion
+	// Total is how many samples the job has.
+	Total int
+	// At is the submission's.
+	At time.Time
+	// Submission is where the submission lies.
+	Submission Place
+}
+
+// Accept returns the acceptance of a submission that lies at a place.
+func (s *Submission) Accept(at Place) *Accepted {
+	return &Accepted{
+		ID: s.ID, Host: s.Host, Model: s.Model, MinVersion: s.MinVersion, Total: len(s.Samples), At: s.At, Submission: at,
+	}
+}
+
 // Outcome is how a sample ended.
 type Outcome uint8
 
@@ -83,7 +114,8 @@
 
 // Result is the end of one sample.
 type Result struct {
-	Job string
+	Job    string
+	Sample string
 	// Index is the sample's place in the submission.
 	Index    int
 	Outcome  Outcome
@@ -94,7 +126,9 @@
 // Fragment is the text of a sample that was broken off, which a later run of
 // the same sample may go on from.
 type Fragment struct {
-	Sample   string
+	Sample string
+	// At is when it was kept, by its writer's time of day.
+	At       time.Time
 	Pieces   int
 	Versions []rollout.WeightVersion
 	Text     Place
@@ -103,29 +137,15 @@
 // End tells that a trainer ended a job.
 type End struct{ Job string }
 
-// Record is one record of the index. Exactly one part is set. A submission that
-// is larger than a record is split: every part but the last is a Chunk.
+// Record is one record of the index. Exactly one part is set.
 type Record struct {
-	Schema     int
-	Submission *Submission `cbor:",omitempty"`
-	Chunk      *Chunk      `cbor:",omitempty"`
-	Result     *Result     `cbor:",omitempty"`
-	Fragment   *Fragment   `cbor:",omitempty"`
-	End        *End        `cbor:",omitempty"`
+	Schema   int
+	Accepted *Accepted `cbor:",omitempty"`
+	Result   *Result   `cbor:",omitempty"`
+	Fragment *Fragment `cbor:",omitempty"`
+	End      *End      `cbor:",omitempty"`
 }
 
-// Chunk is a part of an encoded submission. The parts of one submission follow
-// one another in the partition, for they are appended together.
-type Chunk struct {
-	Job  string
-	Part int
-	Last bool
-	Data []byte
-}
-
-// chunkSlack is what a chunk's own fields need beside its data.
-const chunkSlack = 512
-
 // encoding keeps times to the nanosecond; the default cuts them to the second.
 func encoding() cbor.EncMode {
 	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
@@ -136,33 +156,14 @@
 	return mode
 }
 
-// Encode returns the records of the index for a record.
-func Encode(r Record, recordBytes int) ([][]byte, error) {
+// Encode returns the bytes of a record of the index.
+func Encode(r Record) ([]byte, error) {
 	r.Schema = Schema
 	data, err := encoding().Marshal(r)
-	if err != nil {
-		return nil, rollout.Tried(err, "encode a record")
-	}
-	if len(data) <= recordBytes {
-		return [][]byte{data}, nil
-	}
-	if r.Submission == nil {
-		return nil, fmt.Errorf("record: got %d bytes, expected at most %d", len(data), recordBytes)
-	}
-	var out [][]byte
-	for part := 0; len(data) > 0; part++ {
-		n := min(len(data), recordBytes-chunkSlack)
-		c := Chunk{Job: r.Submission.ID, Part: part, Last: n == len(data), Data: data[:n]}
-		encoded, err := encoding().Marshal(Record{Schema: Schema, Chunk: &c})
-		if err != nil {
-			return nil, rollout.Tried(err, "encode a part of a record")
-		}
-		out, data = append(out, encoded), data[n:]
-	}
-	return out, nil
+	return data, rollout.Tried(err, "encode a record")
 }
 
-// Decode reads and checks a record.
+// Decode reads and checks a record of the index.
 func Decode(data []byte) (Record, error) {
 	var r Record
 	if err := cbor.Unmarshal(data, &r); err != nil {
@@ -172,7 +173,7 @@
 		return Record{}, fmt.Errorf("record: got schema %d, expected %d", r.Schema, Schema)
 	}
 	parts := 0
-	for _, set := range []bool{r.Submission != nil, r.Chunk != nil, r.Result != nil, r.Fragment != nil, r.End != nil} {
+	for _, set := range []bool{r.Accepted != nil, r.Result != nil, r.Fragment != nil, r.End != nil} {
 		if set {
 			parts++
 		}
@@ -180,5 +181,31 @@
 	if parts != 1 {
 		return Record{}, fmt.Errorf("record: got %d parts, expected 1", parts)
 	}
+	if a := r.Accepted; a != nil && (a.Total < 1 || a.Total > maxSamples) {
+		return Record{}, fmt.Errorf("record: got %d samples, expected 1 to %d", a.Total, maxSamples)
+	}
 	return r, nil
 }
+
+// EncodeSubmission returns the bytes of a submission.
+func EncodeSubmission(s *Submission) ([]byte, error) {
+	data, err := encoding().Marshal(s)
+	return data, rollout.Tried(err, "encode submission %s", s.ID)
+}
+
+// DecodeSubmission reads a submission and checks that it is the accepted one.
+func DecodeSubmission(data []byte, a *Accepted) (*Submission, error) {
+	var s Submission
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return nil, rollout.Tried(err, "decode submission %s", a.ID)
+	}
+	if s.ID != a.ID || len(s.Samples) != a.Total {
+		return nil, fmt.Errorf("submission %s: got job %s with %d samples, expected %d", a.ID, s.ID, len(s.Samples), a.Total)
+	}
+	return &s, nil
+}
+
+// Split cuts bytes into records of at most a size.
+func Split(data []byte, recordBytes int) [][]byte {
+	return slices.Collect(slices.Chunk(data, recordBytes))
+}
