ownership: a VM whose membership may have lapsed begins no jobs

When it read the index again, 0.3 s before its next join, it began two jobs that edge-kirkos-24 owned by then: 382 and 351 results were made of 192 and 176, steps took 9.2 s and 7.5 s instead of 7.2 s. Ruled out: a partition dealt anew (no event 712 with a changed number of partitions between 24.0 and 24.9 s).

Change: the time of the last successful join is kept by the clock that also counts suspension (moved from swaps to uptime); after a lease no job is begun. A late renewal tells the watchers, who look for jobs that came meanwhile, also when the generation is the same (the store's own outage stops the leases).

TestLapsedOwnerBeginsNothing fails without the check (samples run twice).

--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -305,6 +305,33 @@
 	})
 }
 
+// TestLapsedOwnerBeginsNothing lets a VM's membership lapse while it still reads the
+// index: its jobs belong to the other VM, and come back to it with its membership.
+func TestLapsedOwnerBeginsNothing(t *testing.T) {
+	d := deploy(t, 30, 5*time.Millisecond, "a", "b")
+	first := newJob("before", 4, 1)
+	d.submit(t, "a", first)
+	d.whole(t, "a", first)
+	d.store.Expel("a")
+	time.Sleep(time.Second)
+	var all []job.Submission
+	for n := range partitions * 2 {
+		all = append(all, newJob(fmt.Sprint("lapsed", n), 4, 1))
+		d.submit(t, "b", all[n])
+	}
+	for _, s := range all {
+		d.whole(t, "b", s)
+		for _, e := range s.Samples {
+			assert.Equal(t, "runs of "+e.ID, d.engines.Runs(e.ID), 1)
+		}
+	}
+	d.store.Admit("a")
+	d.kill("b")
+	last := newJob("after", 8, 1)
+	d.submit(t, "a", last)
+	d.whole(t, "a", last)
+}
+
 // TestIdleVMsDoNotRead runs jobs beside VMs that own no partition and are asked
 // nothing: they must not read the index, for all VMs share the store's rate.
 func TestIdleVMsDoNotRead(t *testing.T) {
--- a/lagoonlink/internal/jobs/keeper.go
+++ b/lagoonlink/internal/jobs/keeper.go
@@ -195,6 +195,9 @@
 // partition.
 func (k *Keeper) Leads() bool { return k.owns(0) }
 
+// begins reports whether this VM begins to run the jobs of a partition.
+func (k *Keeper) begins(number int) bool { return k.owns(number) && k.config.Owner.Valid() }
+
 func (k *Keeper) owns(number int) bool {
 	for _, p := range k.config.Owner.Current().Partitions {
 		if p.Topic == job.TopicIndex && p.Number == number {
--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -150,12 +150,14 @@
 		s, err := r.keeper.submission(ctx, j)
 		if err == nil {
 			r.keeper.readFragments(ctx)
-			r.start(number, s)
+			if r.keeper.begins(number) {
+				r.start(number, s)
+			}
 			return
 		}
 		r.keeper.config.Logger.Write(event.JournalUnreadable, event.Fields{"Partition": j.Submission.Partition, "Job": j.ID, "Error": err})
 		var trimmed *rollout.TrimmedError
-		if pause.For(ctx, followRetry); errors.As(err, &trimmed) || ctx.Err() != nil || !r.keeper.owns(number) {
+		if pause.For(ctx, followRetry); errors.As(err, &trimmed) || ctx.Err() != nil || !r.keeper.begins(number) {
 			return
 		}
 	}
@@ -166,7 +168,7 @@
 	switch {
 	case e.First:
 		r.learn(e.Job)
-		if r.keeper.owns(number) && r.enter() {
+		if r.keeper.begins(number) && r.enter() {
 			r.group.Go(func() { r.take(number, e.Job) })
 			r.group.Done()
 		}
--- a/lagoonlink/internal/ownership/ownership.go
+++ b/lagoonlink/internal/ownership/ownership.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/uptime"
 	"lagoonlink.org/rollout"
 )
 
@@ -37,9 +38,11 @@
 type Owner struct {
 	config Config
 
-	mu       sync.Mutex
-	current  rollout.Assignment
-	left     bool
+	mu      sync.Mutex
+	current rollout.Assignment
+	left    bool
+	// renewed is when the newest join that succeeded was begun, by package uptime.
+	renewed  time.Duration
 	watchers []chan struct{}
 }
 
@@ -55,8 +58,19 @@
 	return o.current
 }
 
-// Watch returns a channel that gets a value after each change, and one at once
-// when something is owned already.
+// Valid reports whether the membership can't have lapsed yet. A VM whose membership
+// may have lapsed begins no new work, for another VM may own the partitions.
+func (o *Owner) Valid() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.valid(uptime.Now())
+}
+
+func (o *Owner) valid(now time.Duration) bool { return o.renewed > 0 && now-o.renewed < o.config.Lease }
+
+// Watch returns a channel that gets a value after each change and after each
+// membership that was renewed too late, and one at once when something is owned
+// already.
 func (o *Owner) Watch() <-chan struct{} {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -104,10 +118,12 @@
 	if left {
 		return nil
 	}
+	begun := uptime.Now()
 	a, err := o.config.Groups.Join(ctx, o.membership())
 	if err != nil {
 		return err
 	}
+	o.renew(begun)
 	if o.take(a) {
 		// A second join in the new generation releases what was taken away, so
 		// that its new owner need not wait.
@@ -116,6 +132,27 @@
 	return err
 }
 
+// renew notes a join. Jobs that came while the membership was not valid were not
+// begun; the watchers look for them.
+func (o *Owner) renew(begun time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.valid(begun) {
+		o.notify()
+	}
+	o.renewed = begun
+}
+
+// notify is called with the lock held.
+func (o *Owner) notify() {
+	for _, w := range o.watchers {
+		select {
+		case w <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // take sets the assignment and reports whether it changed.
 func (o *Owner) take(a rollout.Assignment) bool {
 	o.mu.Lock()
@@ -129,12 +166,7 @@
 	}
 	o.config.Logger.Write(event.OwnershipChanged, event.Fields{"Generation": a.Generation, "Partitions": len(a.Partitions)})
 	o.current = a
-	for _, w := range o.watchers {
-		select {
-		case w <- struct{}{}:
-		default:
-		}
-	}
+	o.notify()
 	return true
 }
 
--- a/lagoonlink/internal/ownership/ownership_test.go
+++ b/lagoonlink/internal/ownership/ownership_test.go
@@ -61,6 +61,24 @@
 		time.Sleep(100 * time.Millisecond)
 		owned(t, o, 4)
 	})
+	t.Run("is not valid after its lease, and tells when it is again", func(t *testing.T) {
+		s := standin.NewStore(4)
+		o := start(t, s, "g")
+		owned(t, o, 4)
+		watch := o.Watch()
+		<-watch
+		assert.True(t, "valid", o.Valid())
+		s.Down("a", true)
+		time.Sleep(100 * time.Millisecond)
+		assert.True(t, "lapsed", !o.Valid())
+		s.Down("a", false)
+		select {
+		case <-watch:
+		case <-time.After(5 * time.Second):
+			t.Errorf("watch: got nothing, want a value after the renewal")
+		}
+		assert.Equal(t, "partitions", len(o.Current().Partitions), 4)
+	})
 	t.Run("owns nothing after it has left", func(t *testing.T) {
 		o := start(t, standin.NewStore(4), "g")
 		owned(t, o, 4)
--- a/lagoonlink/internal/standin/journal.go
+++ b/lagoonlink/internal/standin/journal.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -18,6 +19,8 @@
 	records map[rollout.Partition][][]byte
 	changed chan struct{}
 	down    map[rollout.VMName]bool
+	// deaf holds the VMs whose calls to the group fail.
+	deaf map[rollout.VMName]bool
 	// lost counts the appends of each topic that will succeed without an answer,
 	// reads those calls that a VM made to read a topic.
 	lost    map[string]int
@@ -32,7 +35,7 @@
 func NewStore(partitions int) *Store {
 	return &Store{
 		records: map[rollout.Partition][][]byte{}, changed: make(chan struct{}),
-		down: map[rollout.VMName]bool{}, lost: map[string]int{}, reads: map[rollout.VMName]map[string]int{}, partitions: partitions,
+		down: map[rollout.VMName]bool{}, deaf: map[rollout.VMName]bool{}, lost: map[string]int{}, reads: map[rollout.VMName]map[string]int{}, partitions: partitions,
 	}
 }
 
@@ -43,6 +46,22 @@
 	s.down[vm] = down
 }
 
+// Expel makes a VM's membership lapse and its calls to the group fail, while it
+// still reaches the log; Admit ends that.
+func (s *Store) Expel(vm rollout.VMName) {
+	s.Remove(vm)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf[vm] = true
+}
+
+// Admit ends Expel.
+func (s *Store) Admit(vm rollout.VMName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf[vm] = false
+}
+
 // LoseReplies makes the next appends to a topic succeed without an answer.
 func (s *Store) LoseReplies(topic string, count int) {
 	s.mu.Lock()
@@ -86,6 +105,9 @@
 	_ rollout.Groups  = (*Access)(nil)
 )
 
+// errExpelled answers a VM that was expelled.
+var errExpelled error = rollout.Refuse(rollout.ReasonLogUnavailable, "the group does not answer")
+
 func (s *Store) unreachable(vm rollout.VMName) error {
 	if s.down[vm] {
 		return rollout.Refuse(rollout.ReasonLogUnavailable, "the store is down")
@@ -174,8 +196,8 @@
 	s := a.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.unreachable(a.vm); err != nil {
-		return rollout.Assignment{}, err
+	if err := s.unreachable(a.vm); err != nil || s.deaf[a.vm] {
+		return rollout.Assignment{}, cmp.Or(err, errExpelled)
 	}
 	if !slices.Contains(s.members, m.Member) {
 		s.members = append(s.members, m.Member)
--- a/lagoonlink/internal/swaps/swaps.go
+++ b/lagoonlink/internal/swaps/swaps.go
@@ -12,11 +12,10 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/fleet"
 	"lagoonlink.org/lagoonlink/internal/pause"
+	"lagoonlink.org/lagoonlink/internal/uptime"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/weights"
 )
@@ -112,16 +111,6 @@
 	}
 }
 
-// sinceBoot returns the time since the machine's start, which also counts while
-// the machine is suspended, unlike the clock of package time.
-func sinceBoot() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Duration(time.Now().UnixNano())
-	}
-	return time.Duration(t.Nano())
-}
-
 // Follow reads the announcements of all VMs until the context ends.
 func (s *Swaps) Follow(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -288,7 +277,7 @@
 			return true
 		}
 	}
-	begun := sinceBoot()
+	begun := uptime.Now()
 	data, err := weights.EncodeAnnouncement(weights.Announcement{Holder: s.config.VM, Server: server.Name, Model: w.Model, Version: w.Version})
 	if err != nil {
 		s.failed(server, w, err)
@@ -307,7 +296,7 @@
 	s.mu.Unlock()
 	time.AfterFunc(weights.LoadTime, s.wake)
 	s.config.Fleet.Announced(weights.Announcement{Holder: s.config.VM, Server: server.Name, Model: w.Model, Version: w.Version})
-	if sinceBoot()-begun > giveWithin || !s.config.Leads() {
+	if uptime.Now()-begun > giveWithin || !s.config.Leads() {
 		s.end(server.Name)
 		s.failed(server, w, errors.New("too much time passed since the announcement began"))
 		return false
