candidacy: small VMs leave the running of jobs to larger ones

The owner of a partition reads the streams of all 192 samples of a step, 20 pieces a second each; a small VM can't, takes its own slowness for the engines', and moves the samples, which costs more. 89 of 106 VMs are that small. Ruled out: slow engines (the moves spread evenly over 44 of them).

Change: a VM joins the group under a name that tells its capacity. From half a core on it always takes part; a smaller one looks at the owners once in a lease and takes part only where larger ones are missing.

--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -82,7 +82,7 @@
 	platformStore := store.New(control, s.Store)
 	calls := backend.New(servers)
 	return gateway.New(gateway.Config{
-		VM: rollout.VMName(s.VM), Zone: rollout.Zone(s.Zone), Partitions: s.Partitions, RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
+		VM: rollout.VMName(s.VM), Zone: rollout.Zone(s.Zone), Capacity: s.Capacity, Partitions: s.Partitions, RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
 		Grace: s.Grace, OrderLease: s.OrderLease, MinMembership: s.MinMembership, ChecksFence: s.FencingRequired,
 		Journal: platformStore, Groups: platformStore, Operator: store.Operator(platformStore), Servers: store.Servers(platformStore),
 		Forwarder: calls, Engine: calls, Control: calls,
--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -90,6 +90,7 @@
 	MembershipLost     = define(710, logrus.WarnLevel, "the group membership can't be renewed", "Check the store; the partitions stay until another VM owns them.")
 	MembershipRegained = define(711, logrus.InfoLevel, "the group membership is renewed again", "None.")
 	OwnershipChanged   = define(712, logrus.InfoLevel, "the partitions that this VM owns changed", "None.")
+	CandidacyChanged   = define(713, logrus.InfoLevel, "this VM runs jobs from now on, or leaves them to larger VMs", "None.")
 	JobAccepted        = define(720, logrus.InfoLevel, "a job was accepted", "None.")
 	JobTaken           = define(721, logrus.InfoLevel, "this VM runs a job's samples", "None.")
 	JobEnded           = define(722, logrus.InfoLevel, "a job ended on this VM", "None.")
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"lagoonlink.org/lagoonlink/internal/suspicions"
 	"lagoonlink.org/lagoonlink/internal/swaps"
 	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/candidacy"
 	"lagoonlink.org/rollout/exchange"
 	"lagoonlink.org/rollout/fair"
 	"lagoonlink.org/rollout/job"
@@ -69,8 +70,11 @@
 
 // Config configures the VM. What speaks to the platform is passed in.
 type Config struct {
-	VM          rollout.VMName
-	Zone        rollout.Zone
+	VM   rollout.VMName
+	Zone rollout.Zone
+	// Capacity is the VM's share of a processor in thousandths of a core; 0 when it
+	// is not known.
+	Capacity    int
 	Partitions  int
 	RecordBytes int
 	CallBytes   int
@@ -129,7 +133,8 @@
 	g.suspicions = suspicions.New(suspicions.Config{Journal: c.Journal, Rumors: g.dispatch.Rumors, Heard: g.dispatch.Heard, Logger: c.Logger})
 	g.fleet = fleet.New(fleet.Config{Operator: c.Operator, Servers: c.Servers, InForce: inForce, Dispatch: g.dispatch, ChecksFence: c.ChecksFence, Logger: c.Logger})
 	g.owner = ownership.New(ownership.Config{
-		VM: c.VM, Groups: c.Groups, Group: group, Topics: []string{job.TopicIndex}, Lease: time.Duration(memberships * float64(c.MinMembership)), Logger: c.Logger,
+		VM: c.VM, Groups: c.Groups, Group: group, Topics: []string{job.TopicIndex}, Lease: time.Duration(memberships * float64(c.MinMembership)),
+		Candidate: candidacy.Candidate{Capacity: c.Capacity, Partitions: c.Partitions}, Logger: c.Logger,
 	})
 	g.keeper = jobs.New(jobs.Config{
 		VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, Journal: c.Journal, Engine: c.Engine,
--- a/lagoonlink/internal/ownership/ownership.go
+++ b/lagoonlink/internal/ownership/ownership.go
@@ -13,6 +13,7 @@
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/uptime"
 	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/candidacy"
 )
 
 // Numbers of the membership.
@@ -31,7 +32,9 @@
 	Group  string
 	Topics []string
 	Lease  time.Duration
-	Logger *event.Logger
+	// Candidate tells whether this VM should be a member.
+	Candidate candidacy.Candidate
+	Logger    *event.Logger
 }
 
 // Owner is the duty.
@@ -41,13 +44,16 @@
 	mu      sync.Mutex
 	current rollout.Assignment
 	left    bool
+	// member tells that this VM takes part; asked is when it last looked at who does.
+	member bool
+	asked  time.Duration
 	// renewed is when the newest join that succeeded was begun, by package uptime.
 	renewed  time.Duration
 	watchers []chan struct{}
 }
 
 // New returns the duty.
-func New(c Config) *Owner { return &Owner{config: c} }
+func New(c Config) *Owner { return &Owner{config: c, member: c.Candidate.Always()} }
 
 // Current returns what this VM owns, as far as it knows. A VM that can't reach
 // the store keeps what it had: it goes on with its work until it learns that
@@ -86,9 +92,12 @@
 func (o *Owner) Run(ctx context.Context) error {
 	tick := time.NewTicker(o.config.Lease / renewals)
 	defer tick.Stop()
-	failing := false
+	failing, begun := false, uptime.Now()
 	for {
-		err := o.join(ctx)
+		err := o.consider(ctx, uptime.Now()-begun)
+		if err == nil && o.member {
+			err = o.join(ctx)
+		}
 		if err != nil && !failing && ctx.Err() == nil {
 			o.config.Logger.Write(event.MembershipLost, event.Fields{"Group": o.config.Group, "Error": err})
 		}
@@ -104,9 +113,34 @@
 	}
 }
 
+// consider looks once in a lease whether this VM should be a member, and leaves the
+// group when it should not.
+func (o *Owner) consider(ctx context.Context, sinceStart time.Duration) error {
+	now := uptime.Now()
+	if o.config.Candidate.Always() || now-o.asked < o.config.Lease {
+		return nil
+	}
+	owners, err := o.config.Groups.Owners(ctx, o.config.Group)
+	if err != nil {
+		return err
+	}
+	o.asked = now
+	runs := o.config.Candidate.Runs(o.member, sinceStart, owners)
+	if runs == o.member {
+		return nil
+	}
+	o.member = runs
+	o.config.Logger.Write(event.CandidacyChanged, event.Fields{"Member": runs, "Capacity": o.config.Candidate.Capacity, "Owned": len(owners)})
+	if !runs {
+		o.take(rollout.Assignment{Generation: o.Current().Generation})
+		return o.config.Groups.Leave(ctx, o.membership())
+	}
+	return nil
+}
+
 func (o *Owner) membership() rollout.Membership {
 	return rollout.Membership{
-		Group: o.config.Group, Member: o.config.VM, Topics: o.config.Topics,
+		Group: o.config.Group, Member: o.config.Candidate.Member(o.config.VM), Topics: o.config.Topics,
 		Lease: o.config.Lease, Generation: o.Current().Generation,
 	}
 }
--- a/lagoonlink/internal/ownership/ownership_test.go
+++ b/lagoonlink/internal/ownership/ownership_test.go
@@ -11,15 +11,25 @@
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/ownership"
 	"lagoonlink.org/lagoonlink/internal/standin"
+	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/candidacy"
 )
 
 func start(t *testing.T, s *standin.Store, name string) *ownership.Owner {
+	t.Helper()
+	return startSized(t, s, "a", name, 0)
+}
+
+// startSized starts the duty on a VM with a capacity in thousandths of a core.
+func startSized(t *testing.T, s *standin.Store, vm rollout.VMName, name string, capacity int) *ownership.Owner {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	access := s.Of("a")
-	o := ownership.New(ownership.Config{VM: "a", Groups: access, Group: name, Topics: []string{"jobs"}, Lease: 40 * time.Millisecond, Logger: event.NewLogger(log)})
+	o := ownership.New(ownership.Config{
+		VM: vm, Groups: s.Of(vm), Group: name, Topics: []string{"jobs"}, Lease: 40 * time.Millisecond,
+		Candidate: candidacy.Candidate{Capacity: capacity, Partitions: 4}, Logger: event.NewLogger(log),
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -87,3 +97,19 @@
 		assert.Equal(t, "partitions", len(o.Current().Partitions), 0)
 	})
 }
+
+func TestSmallVMLeavesJobsToLargeOnes(t *testing.T) {
+	s := standin.NewStore(4)
+	small := startSized(t, s, "small", "g", 100)
+	large := startSized(t, s, "large", "g", 800)
+	owned(t, large, 4)
+	time.Sleep(2500 * time.Millisecond)
+	owned(t, large, 4)
+	owned(t, small, 0)
+	s.Down("large", true)
+	s.Remove("large")
+	owned(t, small, 4)
+	s.Down("large", false)
+	owned(t, large, 4)
+	owned(t, small, 0)
+}
--- a/lagoonlink/internal/standin/journal.go
+++ b/lagoonlink/internal/standin/journal.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -87,7 +88,9 @@
 func (s *Store) Remove(vm rollout.VMName) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.members = slices.DeleteFunc(s.members, func(m rollout.VMName) bool { return m == vm })
+	s.members = slices.DeleteFunc(s.members, func(m rollout.VMName) bool {
+		return m == vm || strings.HasPrefix(string(m), string(vm)+"/")
+	})
 	s.generation++
 }
 
@@ -205,7 +208,7 @@
 	}
 	out := rollout.Assignment{Generation: s.generation}
 	for n := range s.partitions {
-		if s.members[n%len(s.members)] == m.Member {
+		if s.owner(n) == m.Member {
 			for _, topic := range m.Topics {
 				out.Partitions = append(out.Partitions, rollout.Partition{Topic: topic, Number: n})
 			}
@@ -214,6 +217,29 @@
 	return out, nil
 }
 
+// owner returns the member that has a partition.
+func (s *Store) owner(partition int) rollout.VMName {
+	if len(s.members) == 0 {
+		return ""
+	}
+	return s.members[partition%len(s.members)]
+}
+
+// Owners implements rollout.Groups.
+func (a *Access) Owners(context.Context, string) ([]rollout.PartitionOwner, error) {
+	s := a.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.unreachable(a.vm); err != nil {
+		return nil, err
+	}
+	var out []rollout.PartitionOwner
+	for n := range s.partitions {
+		out = append(out, rollout.PartitionOwner{Partition: rollout.Partition{Number: n}, Member: s.owner(n)})
+	}
+	return out, nil
+}
+
 // Leave implements rollout.Groups.
 func (a *Access) Leave(_ context.Context, m rollout.Membership) error {
 	s := a.store
--- /dev/null
+++ b/rollout/exchange/header.go
@@ -0,0 +1,39 @@
+package exchange
+
+import (
+	"net/http"
+	"strings"
+
+	"lagoonlink.org/rollout"
+)
+
+// hopByHop are the headers that concern one connection only (RFC 9110, section
+// 7.6.1), with those that a client sets itself.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host",
+}
+
+// EndToEnd returns the header lines of a message that are forwarded with it, except
+// those with the given names.
+func EndToEnd(h http.Header, except ...string) []rollout.HeaderField {
+	skipped := map[string]bool{}
+	for _, name := range append(except, hopByHop...) {
+		skipped[name] = true
+	}
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			skipped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	var fields []rollout.HeaderField
+	for name, values := range h {
+		if skipped[name] {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, rollout.HeaderField{Name: name, Value: v})
+		}
+	}
+	return fields
+}
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -95,10 +95,18 @@
 	Partitions []Partition
 }
 
+// PartitionOwner tells which member has a partition; the name is empty for none.
+type PartitionOwner struct {
+	Partition Partition
+	Member    VMName
+}
+
 // Groups divides partitions among the living members of a group.
 type Groups interface {
 	// Join enters a group or extends the membership.
 	Join(ctx context.Context, m Membership) (Assignment, error)
+	// Owners returns who has each partition, also to a VM that is no member.
+	Owners(ctx context.Context, group string) ([]PartitionOwner, error)
 	// Leave gives up the membership at once.
 	Leave(ctx context.Context, m Membership) error
 }
--- a/rollout/purity_test.go
+++ b/rollout/purity_test.go
@@ -15,7 +15,7 @@
 )
 
 // purePackages hold decision logic: no I/O, no clock, no goroutine.
-var purePackages = []string{"sample", "fair", "placement", "request", "membership", "weights", "configuration", "life", "routing", "registry", "job"}
+var purePackages = []string{"sample", "fair", "placement", "request", "membership", "weights", "configuration", "life", "routing", "registry", "job", "candidacy"}
 
 // impureImports are packages that reach outside.
 var impureImports = []string{"net", "net/http", "os", "io", "sync", "sync/atomic", "os/exec", "syscall", "log"}
