job: judge a run's pace from its first piece on

The pace counted the time in the engine's queue before the first piece, so a run was moved just when it had begun, gave its place up and queued again.

Change: a meter counts from the first piece; the typical pace of a pool is measured the same way.

--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -137,6 +137,8 @@
 	progress *job.Progress
 	avoid    []rollout.ServerName
 	moves    int
+	// meter measures the newest run.
+	meter job.Meter
 	// resumed is how many pieces were there before the first run, servers are
 	// those that ran it, waited is the time in the queue: all for the log.
 	resumed int
@@ -172,7 +174,7 @@
 	switch {
 	case err == nil:
 		grant.Done(result)
-		t.runner.observe(t.run, t.sample, time.Since(begun), made)
+		t.runner.observe(t.run, t.sample, &t.meter)
 		return job.Done, true
 	case ctx.Err() != nil, errors.Is(err, errStale), errors.Is(err, errMoved):
 		grant.Done(result)
@@ -218,7 +220,8 @@
 	}
 	// The reader's end has nothing more to tell than its last error.
 	defer func() { _ = reader.Close() }()
-	begun, made, seen := time.Now(), 0, rollout.WeightVersion(0)
+	t.meter = job.Meter{}
+	seen := rollout.WeightVersion(0)
 	for {
 		piece, err := reader.Next()
 		if errors.Is(err, io.EOF) && t.progress.Pieces() > 0 {
@@ -235,9 +238,9 @@
 		if t.progress.Add(piece) != job.Keep {
 			return errStale
 		}
-		made++
+		t.meter.Piece(time.Now())
 		t.checkpoint()
-		if t.moves < maxMoves && t.runner.slow(t.run, t.sample, made, time.Since(begun)) {
+		if t.moves < maxMoves && t.runner.slow(t.run, t.sample, &t.meter) {
 			t.moves++
 			return errMoved
 		}
@@ -272,17 +275,14 @@
 	return p
 }
 
-func (r *runner) observe(u *run, s *job.Sample, took time.Duration, pieces int) {
-	if pieces == 0 {
-		return
-	}
+func (r *runner) observe(u *run, s *job.Sample, m *job.Meter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pace(u, s).Observe(took / time.Duration(pieces))
+	r.pace(u, s).Observe(m)
 }
 
-func (r *runner) slow(u *run, s *job.Sample, pieces int, took time.Duration) bool {
+func (r *runner) slow(u *run, s *job.Sample, m *job.Meter) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.pace(u, s).Slow(pieces, took)
+	return r.pace(u, s).Slow(m)
 }
--- a/rollout/job/progress.go
+++ b/rollout/job/progress.go
@@ -103,15 +103,39 @@
 	// slowFactor is how many times slower than typical a run must be to be moved.
 	// Moving costs reading the prompt again, a few milliseconds.
 	slowFactor = 1.8
-	// judgedPieces is how many pieces a run is judged by.
+	// judgedPieces is how many pieces after the first a run is judged by.
 	judgedPieces = 5
 )
 
+// Meter measures a run from its first piece on: before it the engine may queue the
+// request and reads its prompt, which tells nothing of its pace.
+type Meter struct {
+	first, last time.Time
+	pieces      int
+}
+
+// Piece counts a piece that came at a time.
+func (m *Meter) Piece(now time.Time) {
+	if m.pieces == 0 {
+		m.first = now
+	}
+	m.last = now
+	m.pieces++
+}
+
+// intervals returns how many pieces followed the first, and in which time.
+func (m *Meter) intervals() (int, time.Duration) { return max(0, m.pieces-1), m.last.Sub(m.first) }
+
 // Pace is the typical time for a piece, over the runs of a pool.
 type Pace struct{ typical time.Duration }
 
-// Observe takes the time for a piece of a run that made some pieces.
-func (p *Pace) Observe(perPiece time.Duration) {
+// Observe takes a run that has ended.
+func (p *Pace) Observe(m *Meter) {
+	n, took := m.intervals()
+	if n == 0 {
+		return
+	}
+	perPiece := took / time.Duration(n)
 	if p.typical == 0 {
 		p.typical = perPiece
 		return
@@ -123,9 +147,10 @@
 	p.typical += time.Duration(weight * float64(perPiece-p.typical))
 }
 
-// Slow reports whether a run that made pieces in a time should go on elsewhere.
-func (p *Pace) Slow(pieces int, took time.Duration) bool {
-	return p.typical > 0 && pieces >= judgedPieces && float64(took) > slowFactor*float64(p.typical)*float64(pieces)
+// Slow reports whether a run should go on elsewhere.
+func (p *Pace) Slow(m *Meter) bool {
+	n, took := m.intervals()
+	return p.typical > 0 && n >= judgedPieces && float64(took) > slowFactor*float64(p.typical)*float64(n)
 }
 
 // Order returns the indexes of the samples still to be made, in the order in
