--- a/rollout/weights/rotation.go
+++ b/rollout/weights/rotation.go
@@ -85,10 +85,13 @@
 // share is how many engines serve one model.
 func (f *Fleet) share() int { return max(1, len(f.Engines)/len(f.Models)) }
 
-// fresh is how many engines should have the newest version of a model.
+// fresh is how many engines should have the newest version of a model: its share,
+// so that versions which are still fresh add to it and one model's step can spread
+// over more engines than its share while others have none. It leaves as many engines
+// to each version before that is still fresh, so that their runs are not interrupted.
 func (f *Fleet) fresh(m FleetModel) int {
 	turns := int(m.Behind) + 1
-	return (f.share() + turns - 1) / turns
+	return max(1, min(f.share(), (len(f.Engines)+turns-1)/turns))
 }
 
 // usableWeight is what an unusable engine weighs against one that is not newest.
--- a/rollout/weights/rotation_test.go
+++ b/rollout/weights/rotation_test.go
@@ -77,6 +77,10 @@
 					swaps := settle(t, &f)
 					assert.AtMost(t, "loads of a version", len(swaps), share)
 					assert.True(t, "share served", usable(f, f.Models[m]) >= share)
+					if int(v) > int(c.behind)+1 {
+						all := min(c.engines, share*int(c.behind+1))
+						assert.True(t, "every fresh version served by a share", usable(f, f.Models[m]) >= all)
+					}
 					if c.engines > 2*share && before > 0 {
 						assert.True(t, "none that served was interrupted", usable(f, f.Models[m]) >= before)
 					}
