soak: real processes under faults from outside; catch signals first of all

Cause: no test ran the program as processes on the platform's face. Ruled out: the grace time (the ends came within milliseconds of the start).

TestSignalsBeforeTheStart delivers signals that were caught before the VM ran.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 MODULES := rollout platform lagoonlink lagoonctl declare lagoonbench deployments
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 BIN := bin
+SEEDS := 10
+FIRST := 1000
 
-.PHONY: build tools demo test lint docs specs known-red fuzz
+.PHONY: build tools demo test lint docs specs known-red fuzz soak
 
 # build makes the programs.
 build:
@@ -34,8 +36,13 @@
 
 # test does all set-up and runs every check.
 test: build lint specs
-	go test -race -count=1 $$(go list $(PACKAGES) | grep -v /integration)
+	go test -race -count=1 $$(go list $(PACKAGES) | grep -v -e /integration -e /soak)
 	go test -count=1 -timeout 20m ./lagoonbench/integration
+	go test -count=1 -timeout 10m ./platform/soak
+
+# soak strikes the real programs with further seeds: make soak SEEDS=50 FIRST=1000
+soak:
+	go test ./platform/soak -count=1 -timeout 120m -v -args -seeds $(SEEDS) -first $(FIRST)
 
 # fuzz looks further than the corpus that ordinary tests run.
 fuzz:
--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -7,9 +7,11 @@
 	"context"
 	"net"
 	"os"
+	"os/signal"
 	"reflect"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -56,6 +58,7 @@
 
 // serveOnPlatform runs an entry VM whose state lies in the platform's store.
 func serveOnPlatform(ctx context.Context, metricsPort int) error {
+	terminate, hangup := caught(syscall.SIGTERM, syscall.SIGINT), caught(syscall.SIGHUP)
 	s, err := settings.Load()
 	if err != nil {
 		return err
@@ -91,11 +94,18 @@
 				Address: s.Front, Callers: front.New(requests, keeper), ReadyAddress: s.Ready, Ready: front.Readiness(ready),
 			})
 		},
-		Reload: reloader(s, platformStore),
+		Terminate: terminate, Hangup: hangup, Reload: reloader(s, platformStore),
 		Logger: logger, Sink: sink, Metrics: scope, MetricsAddress: metricsAddress, MetricsHandler: handler,
 	}).Run(ctx)
 }
 
+// caught returns a channel of signals, which no longer end the process.
+func caught(signals ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, signals...)
+	return c
+}
+
 // reloader returns a function that reads the settings again. A new address of
 // the store is taken at once; other changes need a new start.
 func reloader(s settings.Settings, platformStore *store.Client) func() (changed, restart []string, err error) {
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -9,8 +9,6 @@
 	"errors"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -96,6 +94,9 @@
 	Control   rollout.EngineControl
 	// Front makes the server.
 	Front func(requests *relay.Relay, keeper *jobs.Keeper, ready func() bool) Front
+	// Terminate and Hangup deliver the signals to stop and to read the settings again.
+	// They are caught from the program's first moment: an uncaught one would end it.
+	Terminate, Hangup <-chan os.Signal
 	// Reload reads the settings again and reports what changed in them.
 	Reload func() (changed, restart []string, err error)
 	// MetricsAddress serves MetricsHandler; empty for none.
@@ -201,11 +202,8 @@
 
 // untilSignal waits for a termination signal and then stops gracefully.
 func (g *Gateway) untilSignal(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 	select {
-	case <-signals:
+	case <-g.config.Terminate:
 	case <-ctx.Done():
 		return nil
 	}
@@ -249,16 +247,13 @@
 
 // reload reads the settings again at a signal, and now and then without one.
 func (g *Gateway) reload(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	tick := time.NewTicker(reloadEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-signals:
+		case <-g.config.Hangup:
 		case <-tick.C:
 		}
 		changed, restart, err := g.config.Reload()
--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -6,7 +6,10 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,6 +40,10 @@
 	keeper *jobs.Keeper
 	closed chan struct{}
 	once   sync.Once
+	// terminate and hangup stand in for signals; reloads counts how often the
+	// settings were read again for one.
+	terminate, hangup chan os.Signal
+	reloads           atomic.Int64
 }
 
 func (f *face) Serve(ctx context.Context) error {
@@ -64,6 +71,8 @@
 	engines  *standin.Engines
 	faces    map[rollout.VMName]*face
 	stop     map[rollout.VMName]context.CancelFunc
+	// ended is closed when a VM's run has returned.
+	ended map[rollout.VMName]chan struct{}
 	// address takes connections, as a server does that fails and does not crash.
 	address string
 	group   sync.WaitGroup
@@ -92,6 +101,7 @@
 		store:   standin.NewStore(partitions), operator: standin.NewFeed[rollout.Declared](),
 		servers: standin.NewFeed[rollout.RegisteredServer](), engines: standin.NewEngines(model, pieces, pieceTime),
 		faces: map[rollout.VMName]*face{}, stop: map[rollout.VMName]context.CancelFunc{},
+		ended: map[rollout.VMName]chan struct{}{},
 	}
 	d.operator.Put(rollout.Change[rollout.Declared]{Key: "config", Value: rollout.Declared{Table: &rollout.RouteTable{
 		Version:  1,
@@ -130,7 +140,7 @@
 	log.SetOutput(&d.log)
 	logger := event.NewLogger(log)
 	access := d.store.Of(vm)
-	f := &face{closed: make(chan struct{})}
+	f := &face{closed: make(chan struct{}), terminate: make(chan os.Signal, 1), hangup: make(chan os.Signal, 1)}
 	g := gateway.New(gateway.Config{
 		VM: vm, Zone: "z", Partitions: partitions, RecordBytes: 1 << 16, CallBytes: 1 << 20,
 		Grace: 2 * time.Second, OrderLease: 200 * time.Millisecond, ChecksFence: true, MinMembership: 200 * time.Millisecond,
@@ -139,12 +149,21 @@
 			f.keeper = k
 			return f
 		},
-		Reload: func() ([]string, []string, error) { return nil, nil, nil },
+		Terminate: f.terminate, Hangup: f.hangup,
+		Reload: func() ([]string, []string, error) {
+			f.reloads.Add(1)
+			return nil, nil, nil
+		},
 		Logger: logger, Sink: event.NewSink(io.Discard), Metrics: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	d.faces[vm], d.stop[vm] = f, cancel
-	d.group.Go(func() { _ = g.Run(ctx) })
+	ended := make(chan struct{})
+	d.ended[vm] = ended
+	d.group.Go(func() {
+		defer close(ended)
+		_ = g.Run(ctx)
+	})
 }
 
 // kill ends a VM as a loss of power does: nothing is told to anyone.
@@ -332,6 +351,24 @@
 	d.whole(t, "a", last)
 }
 
+// TestSignalsBeforeTheStart delivers signals that were caught before the VM ran.
+func TestSignalsBeforeTheStart(t *testing.T) {
+	d := deploy(t, 3, time.Millisecond)
+	d.start("a")
+	d.faces["a"].hangup <- syscall.SIGHUP
+	for end := time.Now().Add(patience); d.faces["a"].reloads.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("reloads: got 0, want 1")
+		}
+	}
+	d.faces["a"].terminate <- syscall.SIGTERM
+	select {
+	case <-d.ended["a"]:
+	case <-time.After(patience):
+		t.Errorf("run: got no end, want one after SIGTERM")
+	}
+}
+
 // TestIdleVMsDoNotRead runs jobs beside VMs that own no partition and are asked
 // nothing: they must not read the index, for all VMs share the store's rate.
 func TestIdleVMsDoNotRead(t *testing.T) {
