backend, quotas: decode and log the request limits that servers state

Event 770 gives the limit, the one before and the age of the request whose response stated it. No decision uses it yet.

--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"lagoonlink.org/lagoonlink/internal/jobs"
 	"lagoonlink.org/lagoonlink/internal/ownership"
 	"lagoonlink.org/lagoonlink/internal/pause"
+	"lagoonlink.org/lagoonlink/internal/quotas"
 	"lagoonlink.org/lagoonlink/internal/relay"
 	"lagoonlink.org/lagoonlink/internal/suspicions"
 	"lagoonlink.org/lagoonlink/internal/swaps"
@@ -106,6 +107,8 @@
 	Engine    rollout.SampleEngine
 	Scorer    rollout.SampleScorer
 	Control   rollout.EngineControl
+	// Limits reports the request rate limits that servers state in their responses.
+	Limits rollout.LimitSource
 	// NewListener returns the server for callers, trainers and readiness checks.
 	NewListener func(requests *relay.Relay, manager *jobs.Manager, ready func() bool) Listener
 	// Terminate and Hangup deliver the signals to stop and to read the settings again.
@@ -149,6 +152,7 @@
 		StartLimit: func(most int) int { return most },
 	})
 	g.suspicions = suspicions.New(suspicions.Config{Journal: c.Journal, Suspicions: g.dispatch.Suspicions, OnSuspicions: g.dispatch.MergeSuspicions, Logger: c.Logger})
+	c.Limits.NotifyLimits(quotas.New(quotas.Config{Logger: c.Logger}))
 	g.fleet = fleet.New(fleet.Config{Operator: c.Operator, Servers: c.Servers, InForce: inForce, Dispatch: g.dispatch, ChecksFence: c.ChecksFence, Logger: c.Logger})
 	g.owner = ownership.New(ownership.Config{
 		VM: c.VM, Groups: c.Groups, Group: runnerGroup, Topics: []string{job.TopicIndex}, Lease: time.Duration(leaseMultiple * float64(c.MinMembershipLease)),
--- a/lagoonlink/internal/standin/engine.go
+++ b/lagoonlink/internal/standin/engine.go
@@ -29,6 +29,7 @@
 	ended      map[string]time.Time
 	failures   map[rollout.ServerName]error
 	model      rollout.ModelName
+	limits     rollout.LimitReceiver
 }
 
 // NewEngines returns engines that have loaded version 1 of a model.
@@ -87,8 +88,16 @@
 var (
 	_ rollout.SampleEngine  = (*Engines)(nil)
 	_ rollout.EngineControl = (*Engines)(nil)
+	_ rollout.LimitSource   = (*Engines)(nil)
 )
 
+// NotifyLimits implements rollout.LimitSource.
+func (e *Engines) NotifyLimits(r rollout.LimitReceiver) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limits = r
+}
+
 // Output returns the complete output of a sample.
 func (e *Engines) Output(sample string) string {
 	output := ""
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -164,6 +164,27 @@
 	Forward(ctx context.Context, s Server, r ForwardedRequest) (ForwardedResponse, error)
 }
 
+// ObservedLimit is what a server's response says about the server's request rate limit.
+type ObservedLimit struct {
+	// Rate is the number of requests a second that the server takes from all VMs
+	// together; 0 means that it states no limit.
+	Rate float64
+	// SentAt is when the request was sent.
+	SentAt time.Time
+}
+
+// LimitReceiver receives the request rate limits that servers state in responses. Its
+// method must not block.
+type LimitReceiver interface {
+	ObserveLimit(s ServerName, o ObservedLimit)
+}
+
+// LimitSource reports the request rate limits in the responses that it receives.
+type LimitSource interface {
+	// NotifyLimits sets the receiver. It must be called before requests are sent.
+	NotifyLimits(r LimitReceiver)
+}
+
 // EngineState is the state that a model engine reports on request.
 type EngineState struct {
 	// Busy reports whether the engine is executing an order.
