quota: VMs together keep the request limits that servers state

Cause: placement knew in-flight limits of one VM only; a limit that holds for all VMs together had no owner, and the header that states it wasn't read.

Package quota decides from the records alone what each booking grants (a token bucket by the writers' clocks), so all VMs agree and none has to know how many there are. Placement needs a permit for each request to such a server; every kind of request passes there. Callers' requests may be booked 0.5 s ahead, samples and scores not, so callers go first. Without the store nothing is booked and such servers get nothing from that VM. A response without the header ends the limit.

Ruled out: shares by the number of VMs (at 1 a second and 16 VMs each has one request in 16 s, and one each at the same moment is too many already).

Evidence: with SetRateLimit disabled TestVMsTogetherKeepServersLimit got 11,351 requests in 4 s, at most 35 allowed; it passes now.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -33,6 +33,10 @@
 	StartLimit func(maxConcurrency int) int
 	// Reachable reports whether the server at the address accepts connections.
 	Reachable func(address string) bool
+	// Book asks for permits to send a number of requests to a server with a request rate
+	// limit, urgent ones before others; AddPermits must be called with the answer. It must not block, and reports
+	// whether an answer will follow. It may be nil if no server has a limit.
+	Book func(s rollout.ServerName, requests int, urgent bool) bool
 	// Announce is called when suspicions have changed, so that they are sent to
 	// the other VMs without delay.
 	Announce func()
@@ -135,6 +139,15 @@
 		server rollout.ServerName
 		report rollout.LoadReport
 	}
+	rateLimitMessage struct {
+		server rollout.ServerName
+		rate   float64
+	}
+	permitsMessage struct {
+		server    rollout.ServerName
+		permits   []time.Time
+		bookAfter time.Time
+	}
 	leavingMessage    struct{ leaving map[string]bool }
 	suspicionsMessage struct{ suspicions []request.SharedSuspicion }
 	viewsMessage      struct{ reply chan []TargetView }
@@ -142,13 +155,15 @@
 
 // Dispatcher queues requests and grants them servers.
 type Dispatcher struct {
-	config      Config
-	messages    chan any
-	lastID      atomic.Uint64
-	suspicions  atomic.Pointer[[]request.SharedSuspicion]
-	targets     map[Target]*targetState
-	suspects    *request.Suspects
-	leaving     map[string]bool
+	config     Config
+	messages   chan any
+	lastID     atomic.Uint64
+	suspicions atomic.Pointer[[]request.SharedSuspicion]
+	targets    map[Target]*targetState
+	suspects   *request.Suspects
+	leaving    map[string]bool
+	// rateLimits holds the request rate limits of servers, also of unknown ones.
+	rateLimits  map[rollout.ServerName]float64
 	appliedView *inforce.View
 	// stopped is closed when Run returns; messages are not answered after that.
 	stopped chan struct{}
@@ -193,6 +208,8 @@
 		targets:  map[Target]*targetState{},
 		suspects: request.NewSuspects(),
 		stopped:  make(chan struct{}),
+
+		rateLimits: map[rollout.ServerName]float64{},
 	}
 }
 
@@ -265,6 +282,17 @@
 	d.send(loadMessage{pool: p, server: s, report: r})
 }
 
+// SetRateLimit records a server's request rate limit in requests a second; 0 means none.
+func (d *Dispatcher) SetRateLimit(s rollout.ServerName, rate float64) {
+	d.send(rateLimitMessage{server: s, rate: rate})
+}
+
+// AddPermits answers a booking: a request may be sent to the server from each of the
+// given times, and the next booking makes sense from bookAfter on.
+func (d *Dispatcher) AddPermits(s rollout.ServerName, permits []time.Time, bookAfter time.Time) {
+	d.send(permitsMessage{server: s, permits: permits, bookAfter: bookAfter})
+}
+
 // SetListedLeaving records the addresses of the servers that the platform lists
 // as leaving.
 func (d *Dispatcher) SetListedLeaving(leaving map[string]bool) {
@@ -311,6 +339,9 @@
 // deadlines.
 const tickInterval = 50 * time.Millisecond
 
+// bookingRetryDelay is the delay after a booking that could not be queued.
+const bookingRetryDelay = 100 * time.Millisecond
+
 // Run processes messages and configuration changes until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	changes := d.config.InForce.Watch()
@@ -363,6 +394,13 @@
 			ts.pool.UpdateLoad(m.server, m.report)
 			d.grantQueued(now, ts)
 		}
+	case rateLimitMessage:
+		d.setRateLimit(now, m)
+	case permitsMessage:
+		for _, ts := range d.targets {
+			ts.pool.AddPermits(m.server, m.permits, m.bookAfter)
+			d.grantQueued(now, ts)
+		}
 	case leavingMessage:
 		d.leaving = m.leaving
 		for _, ts := range d.targets {
@@ -381,6 +419,18 @@
 	}
 }
 
+func (d *Dispatcher) setRateLimit(now time.Time, m rateLimitMessage) {
+	if m.rate > 0 {
+		d.rateLimits[m.server] = m.rate
+	} else {
+		delete(d.rateLimits, m.server)
+	}
+	for _, ts := range d.targets {
+		ts.pool.SetRateLimit(m.server, m.rate)
+		d.grantQueued(now, ts)
+	}
+}
+
 // applyConfiguration updates the targets to match a configuration. A target that
 // is no longer declared is kept without servers, so that its requests in flight
 // can complete; its queued requests stay queued until they expire or are canceled.
@@ -402,6 +452,9 @@
 			ts.pool.Configure(d.placementConfig(1, 0), nil)
 		}
 		ts.pool.SetListedLeaving(d.leaving)
+		for s, rate := range d.rateLimits {
+			ts.pool.SetRateLimit(s, rate)
+		}
 		d.grantQueued(time.Now(), ts)
 	}
 }
@@ -441,6 +494,11 @@
 		return
 	}
 	req := m.req
+	if at, limited := ts.pool.EarliestPermit(now, req.Requirements); limited && !req.Deadline.IsZero() && at.After(req.Deadline) {
+		f := rollout.Refuse(rollout.ReasonOverloaded, "all backend servers of %s%s have request rate limits, which are used up until the deadline", req.Target.Pool, req.Target.Service)
+		m.reply <- grantReply{err: f.WithRetryAfter(at.Sub(now))}
+		return
+	}
 	f := ts.queue.Push(now, fair.Item{ID: m.id, Tenant: req.Tenant, Class: req.Requirements.Class, Share: req.Share, Cost: req.Cost, Deadline: req.Deadline, Boost: req.Boost, Rank: req.Rank})
 	if f != nil {
 		m.reply <- grantReply{err: f}
@@ -474,6 +532,7 @@
 	}
 	for {
 		var server rollout.Server
+		var unplaced *placement.Requirements
 		it, ok := ts.queue.Next(func(it fair.Item) bool {
 			req := ts.waiting[it.ID].req
 			if d.suspects.Standing(now, req.Fingerprint) == request.Suspected {
@@ -481,9 +540,15 @@
 			}
 			var found bool
 			server, found = ts.pool.Pick(now, req.Requirements)
+			if !found && unplaced == nil {
+				unplaced = &req.Requirements
+			}
 			return found
 		})
 		if !ok {
+			if unplaced != nil {
+				d.book(now, ts, *unplaced)
+			}
 			return
 		}
 		w := ts.waiting[it.ID]
@@ -495,6 +560,20 @@
 	}
 }
 
+// book books permits for waiting requests, the first of which has the given requirements,
+// at servers with request rate limits.
+func (d *Dispatcher) book(now time.Time, ts *targetState, r placement.Requirements) {
+	if len(d.rateLimits) == 0 || d.config.Book == nil {
+		return
+	}
+	urgent := r.Class != rollout.ClassRollout && r.Class != rollout.ClassScoring
+	for _, s := range ts.pool.StartBookings(now, r, len(ts.waiting)) {
+		if !d.config.Book(s, 1, urgent) {
+			ts.pool.AddPermits(s, nil, now.Add(bookingRetryDelay))
+		}
+	}
+}
+
 // suspectServers returns the servers on which a suspected request is in flight.
 // No other suspect may run there at the same time, so that a crash identifies the
 // request that caused it.
--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -114,6 +114,8 @@
 	SwapYielded        = define(753, logrus.InfoLevel, "an engine refused an order because another VM sent a newer one; this VM waits", "None.")
 	SwapLeadChanged    = define(754, logrus.InfoLevel, "this VM started or stopped sending orders to load weights; see Leads", "None.")
 	LimitChanged       = define(770, logrus.InfoLevel, "the request rate limit of a backend server changed; Rate 0 means that it has none", "If it repeats, add servers to the service: the server is in trouble.")
+	QuotaUnavailable   = define(771, logrus.WarnLevel, "requests to servers with request rate limits can't be booked; such servers get none from this VM", "Check the store.")
+	QuotaAvailable     = define(772, logrus.InfoLevel, "requests to servers with request rate limits can be booked again", "None.")
 	MetricsUnavailable = define(761, logrus.WarnLevel, "the metrics can't be served; the VM continues without them", "Find the process that uses the port in Address.")
 	SettingsReloaded   = define(760, logrus.InfoLevel, "the settings changed, or can't be read", "Restart the VM to apply the settings named in Restart; if Error is set, correct the settings.")
 )
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -136,6 +136,7 @@
 	owner      *ownership.Owner
 	manager    *jobs.Manager
 	swaps      *swaps.Coordinator
+	quotas     *quotas.Tracker
 	suspicions *suspicions.Syncer
 	listener   Listener
 	stopping   chan struct{}
@@ -150,9 +151,13 @@
 		InForce: inForce, Logger: c.Logger, Reachable: httpclient.Reachable, Announce: func() { g.suspicions.Announce() },
 		// Servers register their own concurrency limit, so it is used from the start.
 		StartLimit: func(most int) int { return most },
+		Book: func(s rollout.ServerName, requests int, urgent bool) bool {
+			return g.quotas.Book(s, requests, urgent)
+		},
 	})
 	g.suspicions = suspicions.New(suspicions.Config{Journal: c.Journal, Suspicions: g.dispatch.Suspicions, OnSuspicions: g.dispatch.MergeSuspicions, Logger: c.Logger})
-	c.Limits.NotifyLimits(quotas.New(quotas.Config{Logger: c.Logger}))
+	g.quotas = quotas.New(quotas.Config{VM: c.VM, Journal: c.Journal, Permits: g.dispatch, Logger: c.Logger})
+	c.Limits.NotifyLimits(g.quotas)
 	g.fleet = fleet.New(fleet.Config{Operator: c.Operator, Servers: c.Servers, InForce: inForce, Dispatch: g.dispatch, ChecksFence: c.ChecksFence, Logger: c.Logger})
 	g.owner = ownership.New(ownership.Config{
 		VM: c.VM, Groups: c.Groups, Group: runnerGroup, Topics: []string{job.TopicIndex}, Lease: time.Duration(leaseMultiple * float64(c.MinMembershipLease)),
@@ -202,6 +207,7 @@
 		"reload":   g.reload,
 		"tell":     g.suspicions.Publish,
 		"hear":     g.suspicions.Follow,
+		"quotas":   g.quotas.Run,
 		"callers":  g.listener.Serve,
 		"ready":    g.listener.ServeReady,
 		"signals":  g.stopOnSignal,
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -9,7 +9,8 @@
 //   - a server that is leaving or not declared is never picked;
 //   - at most half of the servers are ejected at a time;
 //   - a server at its limit is never picked, and rollouts and scoring requests
-//     leave the configured reserve of the limit free.
+//     leave the configured reserve of the limit free;
+//   - a server with a request rate limit gets one request for each permit.
 //
 // Load reports and weight versions are hints that influence the choice; no
 // guarantee depends on them.
@@ -85,6 +86,7 @@
 	// when it was last updated.
 	unitTime   float64
 	unitTimeAt time.Time
+	quota      rateQuota
 }
 
 // Pool is the placement state of one pool or service.
@@ -170,7 +172,14 @@
 	return eligible
 }
 
+// canTake reports whether a request may be sent to a server now.
 func (p *Pool) canTake(now time.Time, s *server, r Requirements) bool {
+	return p.hasRoom(now, s, r) && s.permits(now)
+}
+
+// hasRoom reports whether a server may take a request, regardless of its request rate
+// limit.
+func (p *Pool) hasRoom(now time.Time, s *server, r Requirements) bool {
 	if s.isLeaving(now) || now.Before(s.ejectedUntil) || slices.Contains(r.Avoid, s.declared.Name) {
 		return false
 	}
@@ -298,6 +307,7 @@
 		return
 	}
 	s.inFlight++
+	s.takePermit()
 	if r.Prefix != 0 {
 		s.recordPrefix(now, r.Prefix)
 	}
