--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -108,6 +108,7 @@
 	RequestRefused     = define(740, logrus.InfoLevel, "a request was refused without being run", "Look at Reason.")
 	RequestServed      = define(741, logrus.DebugLevel, "a request was answered", "None.")
 	RequestIncomplete  = define(742, logrus.WarnLevel, "a request got no complete answer from a backend server", "Look at Attempts and Error.")
+	StreamStarted      = define(743, logrus.InfoLevel, "a server began to answer a request with a stream", "None; Resumes names the request that began the stream, Software the version of the server's software.")
 	SwapAnnounced      = define(750, logrus.InfoLevel, "an order to load weights was announced and sent to an engine; see Outcome", "None.")
 	SwapEnded          = define(751, logrus.InfoLevel, "an engine loaded a weight version", "None.")
 	SwapFailed         = define(752, logrus.WarnLevel, "an order to load weights was not carried out; it is retried", "If it repeats, look at the engine in Server.")
--- a/lagoonlink/internal/fleet/fleet.go
+++ b/lagoonlink/internal/fleet/fleet.go
@@ -188,7 +188,7 @@
 
 func sameServer(a, b rollout.RegisteredServer) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Leaving == b.Leaving && a.Slots == b.Slots &&
-		a.Service == b.Service && a.Incarnation == b.Incarnation
+		a.Service == b.Service && a.Incarnation == b.Incarnation && a.Software == b.Software
 }
 
 // maxLoggedServers limits the names in each list of a log line.
@@ -255,7 +255,7 @@
 	slots := map[rollout.ServiceName]int{}
 	for _, s := range f.registry.Servers() {
 		byService[s.Service] = append(byService[s.Service], rollout.Server{
-			Name: s.Name, Zone: s.Zone, Address: s.Address, ChecksFence: f.config.ChecksFence, Leaving: s.Leaving,
+			Name: s.Name, Zone: s.Zone, Address: s.Address, ChecksFence: f.config.ChecksFence, Leaving: s.Leaving, Software: s.Software,
 		})
 		slots[s.Service] = max(slots[s.Service], s.Slots)
 	}
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -212,6 +212,7 @@
 		result.ConnectionLost = attemptCtx.Err() == nil
 	}
 	if response.Stream != nil {
+		s.logStream(grant)
 		response.Stream = &grantedStream{ResponseStream: response.Stream, onClose: func() { cancel(); grant.Done(result) }}
 		return response, nil
 	}
@@ -220,6 +221,12 @@
 	return response, err
 }
 
+func (s *servedRequest) logStream(grant *dispatch.Grant) {
+	s.relay.config.Logger.Write(event.StreamStarted, event.Fields{
+		"Request": s.request.ID, "Route": s.route.Name, "Server": grant.Server.Name, "Software": grant.Server.Software, "Resumed": s.request.Resumed, "Resumes": s.request.Resumes,
+	})
+}
+
 // withAttemptTimeout returns the context of an attempt. If another attempt may
 // follow, its timeout leaves time for that one, as far as minAttemptObjectives
 // permits.
--- a/rollout/configuration.go
+++ b/rollout/configuration.go
@@ -58,6 +58,9 @@
 	ChecksFence bool `yaml:"ChecksFence,omitempty"`
 	// Leaving reports whether the server is draining and must get no new requests.
 	Leaving bool `yaml:"Leaving,omitempty"`
+	// Software is the version of the server's software. Only servers of one version can
+	// continue each other's streams.
+	Software SoftwareVersion `yaml:"Software,omitempty"`
 }
 
 // Service is a plain service, one that does not run models.
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -139,6 +139,12 @@
 	Body   []byte
 	// Streamed requests that the response's body be streamed.
 	Streamed bool
+	// Resumed reports whether the request continues a stream that an earlier request of
+	// the caller began.
+	Resumed bool
+	// Resumes is the ID of the request that brought the first event of that stream; it
+	// is empty if the caller doesn't state it.
+	Resumes string
 }
 
 // ForwardedResponse is a backend server's response.
--- a/rollout/names.go
+++ b/rollout/names.go
@@ -13,6 +13,9 @@
 	VMName string
 	// ServerName names a backend server. It is unique within a configuration.
 	ServerName string
+	// SoftwareVersion is the version of a backend server's software, as opposed to that
+	// of the weights that it serves. It is empty if the server states none.
+	SoftwareVersion string
 	// PoolName names a pool of model engines.
 	PoolName string
 	// ServiceName names a plain service.
--- a/rollout/routes.go
+++ b/rollout/routes.go
@@ -97,6 +97,8 @@
 	Service ServiceName
 	Address string
 	Zone    Zone
+	// Software is the version of the server's software.
+	Software SoftwareVersion
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
 	// Leaving reports whether the server is draining and must get no new requests.
