origin: a stream goes on at the software version that began it

Cause: a take-up is a new request and went to any server of the service; placement didn't know software versions, and nothing told which version began a stream, least of all after all VMs had lost their memory.

A take-up is placed at servers of the recorded version only. That can't join two versions whatever is lost.

--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"lagoonlink.org/lagoonlink/internal/fleet"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/jobs"
+	"lagoonlink.org/lagoonlink/internal/origins"
 	"lagoonlink.org/lagoonlink/internal/ownership"
 	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/lagoonlink/internal/quotas"
@@ -137,6 +138,7 @@
 	manager    *jobs.Manager
 	swaps      *swaps.Coordinator
 	quotas     *quotas.Tracker
+	origins    *origins.Registry
 	suspicions *suspicions.Syncer
 	listener   Listener
 	stopping   chan struct{}
@@ -171,7 +173,8 @@
 		Holder: rollout.VMName(string(c.VM) + "@" + c.Address), Journal: c.Journal, Control: c.Control, Fleet: g.fleet, IssuesOrders: g.manager.IssuesOrders, SwapPolicy: g.manager.SwapPolicy, ChecksFence: c.ChecksFence,
 		Lease: c.OrderLease, Logger: c.Logger,
 	})
-	requests := relay.New(relay.Config{InForce: inForce, Dispatch: g.dispatch, Forwarder: c.Forwarder, Logger: c.Logger, Metrics: c.Metrics})
+	g.origins = origins.New(origins.Config{Journal: c.Journal, Logger: c.Logger})
+	requests := relay.New(relay.Config{InForce: inForce, Dispatch: g.dispatch, Forwarder: c.Forwarder, Origins: g.origins, Logger: c.Logger, Metrics: c.Metrics})
 	g.listener = c.NewListener(requests, g.manager, g.ready)
 	return g
 }
@@ -208,6 +211,8 @@
 		"tell":     g.suspicions.Publish,
 		"hear":     g.suspicions.Follow,
 		"quotas":   g.quotas.Run,
+		"began":    g.origins.Publish,
+		"resumed":  g.origins.Follow,
 		"callers":  g.listener.Serve,
 		"ready":    g.listener.ServeReady,
 		"signals":  g.stopOnSignal,
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -46,11 +46,21 @@
 	minAttemptObjectives = 1.5
 )
 
+// Origins knows which software version of its service began a stream.
+type Origins interface {
+	// Began records that a server sent the first event of the stream of a request.
+	Began(request string, software rollout.SoftwareVersion)
+	// Find returns the version that began the stream of a request. It fails with the
+	// verdict NotRun if that can't be determined.
+	Find(ctx context.Context, request string) (rollout.SoftwareVersion, error)
+}
+
 // Config configures a Relay.
 type Config struct {
 	InForce   *inforce.Holder
 	Dispatch  *dispatch.Dispatcher
 	Forwarder rollout.Forwarder
+	Origins   Origins
 	Logger    *event.Logger
 	Metrics   tally.Scope
 }
@@ -68,7 +78,10 @@
 	// target is chosen once, so that all attempts go to the same service or pool.
 	target      dispatch.Target
 	fingerprint request.Fingerprint
-	start       time.Time
+	// software is the software version that began the stream that the request resumes,
+	// or nil if any server may run the request.
+	software *rollout.SoftwareVersion
+	start    time.Time
 	// attemptsRun counts the attempts that ran or may have run, refusals the ones that
 	// certainly did not run.
 	attemptsRun int
@@ -142,6 +155,13 @@
 }
 
 func (s *servedRequest) serve(ctx context.Context) (rollout.ForwardedResponse, error) {
+	if s.request.Streamed && s.request.Resumed {
+		software, err := s.relay.config.Origins.Find(ctx, s.request.Resumes)
+		if err != nil {
+			return rollout.ForwardedResponse{}, s.refusal(err)
+		}
+		s.software = &software
+	}
 	for {
 		grant, err := s.relay.config.Dispatch.Acquire(ctx, s.newRequest(ctx))
 		if err != nil {
@@ -185,7 +205,7 @@
 		class = rollout.ClassInteractive
 	}
 	return dispatch.Request{
-		Target: s.target, Requirements: placement.Requirements{Class: class, Avoid: s.avoid}, Tenant: s.route.Name, Share: 1, Cost: 1,
+		Target: s.target, Requirements: placement.Requirements{Class: class, Avoid: s.avoid, Software: s.software}, Tenant: s.route.Name, Share: 1, Cost: 1,
 		Deadline: deadline, Fingerprint: s.fingerprint,
 	}
 }
@@ -212,6 +232,9 @@
 		result.ConnectionLost = attemptCtx.Err() == nil
 	}
 	if response.Stream != nil {
+		if !s.request.Resumed {
+			s.relay.config.Origins.Began(s.request.ID, grant.Server.Software)
+		}
 		s.logStream(grant)
 		response.Stream = &grantedStream{ResponseStream: response.Stream, onClose: func() { cancel(); grant.Done(result) }}
 		return response, nil
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -137,6 +137,8 @@
 	Prefix uint64
 	// Avoid lists servers that must not serve the request.
 	Avoid []rollout.ServerName
+	// Software requires a server of that software version; nil allows any.
+	Software *rollout.SoftwareVersion
 	// MaxUnitTime requires a server that recently took at most this time in seconds
 	// per unit; 0 allows any.
 	MaxUnitTime float64
@@ -155,13 +157,21 @@
 // ejections and weight versions.
 func (p *Pool) Serves(now time.Time, r Requirements) bool {
 	for _, s := range p.servers {
-		if !s.isLeaving(now) && !slices.Contains(r.Avoid, s.declared.Name) {
+		if s.suits(now, r) {
 			return true
 		}
 	}
 	return false
 }
 
+// suits reports whether a server may ever take a request, regardless of its load.
+func (s *server) suits(now time.Time, r Requirements) bool {
+	if r.Software != nil && *r.Software != s.declared.Software {
+		return false
+	}
+	return !s.isLeaving(now) && !slices.Contains(r.Avoid, s.declared.Name)
+}
+
 func (p *Pool) eligible(now time.Time, r Requirements) []*server {
 	var eligible []*server
 	for _, s := range p.servers {
@@ -180,7 +190,7 @@
 // hasRoom reports whether a server may take a request, regardless of its request rate
 // limit.
 func (p *Pool) hasRoom(now time.Time, s *server, r Requirements) bool {
-	if s.isLeaving(now) || now.Before(s.ejectedUntil) || slices.Contains(r.Avoid, s.declared.Name) {
+	if !s.suits(now, r) || now.Before(s.ejectedUntil) {
 		return false
 	}
 	if r.MaxUnitTime > 0 && (s.unitTime == 0 || s.unitTime > r.MaxUnitTime || now.Sub(s.unitTimeAt) >= unitTimeMaxAge) {
--- a/rollout/placement/quota.go
+++ b/rollout/placement/quota.go
@@ -96,7 +96,7 @@
 // none, the time is now.
 func (p *Pool) EarliestPermit(now time.Time, r Requirements) (earliest time.Time, limited bool) {
 	for _, s := range p.servers {
-		if s.isLeaving(now) || slices.Contains(r.Avoid, s.declared.Name) {
+		if !s.suits(now, r) {
 			continue
 		}
 		if s.quota.rate <= 0 {
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -71,6 +71,7 @@
 	ReasonLogUnavailable   Reason = "LogUnavailable"
 	ReasonLogLimited       Reason = "LogRateLimited"
 	ReasonSuspect          Reason = "SuspectedOfCrashingServers"
+	ReasonOriginUnknown    Reason = "OriginUnknown"
 	ReasonIdentityUnknown  Reason = "IdentityUnknown"
 	ReasonAlreadyRequested Reason = "AlreadyRequested"
 	ReasonInternal         Reason = "Internal"
