jobs: texts of samples aren't joined across software versions

It can happen when a run is moved, fails, or is taken up from a stored fragment by another owner or a later job.

Cause: progress and fragments knew the versions of the weights, not of the software.

Change: the text's software version is kept with it and in its fragments, and every further run, also on a faster server, needs a server of that version. Fragments of earlier releases name no version, so their texts are made again.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -359,6 +359,7 @@
 		case now := <-ticker.C:
 			for _, ts := range d.targets {
 				if len(ts.waiting) > 0 {
+					d.refuseUnservable(now, ts)
 					d.grantQueued(now, ts)
 				}
 			}
@@ -490,7 +491,7 @@
 		return
 	}
 	if !ts.pool.Serves(now, m.req.Requirements) {
-		m.reply <- grantReply{err: rollout.Refuse(rollout.ReasonNoServer, "no backend server of %s%s can take the request", m.req.Target.Pool, m.req.Target.Service).WithRetryAfter(time.Second)}
+		m.reply <- grantReply{err: noServer(m.req.Target)}
 		return
 	}
 	req := m.req
@@ -587,6 +588,21 @@
 	return out
 }
 
+// refuseUnservable refuses the queued requests that need a software version of which no
+// server is left.
+func (d *Dispatcher) refuseUnservable(now time.Time, ts *targetState) {
+	for id, w := range ts.waiting {
+		if r := w.req.Requirements; r.Software != nil && !ts.pool.Serves(now, r) {
+			ts.queue.Remove(id)
+			d.refuseQueued(ts, id, noServer(w.req.Target))
+		}
+	}
+}
+
+func noServer(t Target) *rollout.Failure {
+	return rollout.Refuse(rollout.ReasonNoServer, "no backend server of %s%s can take the request", t.Pool, t.Service).WithRetryAfter(time.Second)
+}
+
 // refuseQueued answers a request that the queue has already dropped.
 func (d *Dispatcher) refuseQueued(ts *targetState, id uint64, f *rollout.Failure) {
 	if w, ok := ts.waiting[id]; ok {
--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -141,10 +141,12 @@
 	return d
 }
 
-func (d *deployment) register(n int, v rollout.WeightVersion) {
+func (d *deployment) register(n int, v rollout.WeightVersion) { d.registerSoftware(n, v, "") }
+
+func (d *deployment) registerSoftware(n int, v rollout.WeightVersion, software rollout.SoftwareVersion) {
 	name := fmt.Sprintf("s%d", n)
 	d.servers.Put(rollout.Change[rollout.RegisteredServer]{Key: name, Value: rollout.RegisteredServer{
-		Name: rollout.ServerName(name), Service: "pool", Address: d.address, Slots: 4,
+		Name: rollout.ServerName(name), Service: "pool", Address: d.address, Slots: 4, Software: software,
 		Versions: map[rollout.ModelName]rollout.WeightVersion{model: v},
 	}})
 }
--- /dev/null
+++ b/lagoonlink/internal/gateway/software_test.go
@@ -0,0 +1,56 @@
+package gateway_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/job"
+)
+
+// checkSoftware checks that no run of the job's samples continued a text that servers of
+// another software version began. It returns the number of runs that continued one.
+func (d *deployment) checkSoftware(t *testing.T, s job.Submission, software map[rollout.ServerName]rollout.SoftwareVersion) (continued int) {
+	t.Helper()
+	for _, sample := range s.Samples {
+		runs := d.engines.History(sample.ID)
+		for i, r := range runs {
+			if r.After > 0 {
+				continued++
+				assert.Equal(t, fmt.Sprintf("software of run %d of %s", i, sample.ID), software[r.Server], software[runs[i-1].Server])
+			}
+		}
+	}
+	return continued
+}
+
+// TestTextsAreNotJoinedAcrossSoftwareVersions guards against samples whose texts are
+// joined from servers of two software versions, when runs fail, owners fail and the
+// servers of one version leave.
+func TestTextsAreNotJoinedAcrossSoftwareVersions(t *testing.T) {
+	d := deploy(t, 100, 4*time.Millisecond, "a")
+	software := map[rollout.ServerName]rollout.SoftwareVersion{"s0": "v1", "s1": "v1", "s2": "v1", "s3": "v2", "s4": "v2"}
+	for n := range servers {
+		d.registerSoftware(n, 1, software[rollout.ServerName(fmt.Sprint("s", n))])
+	}
+	connectionLost := rollout.Fail(rollout.MayHaveRun, rollout.ReasonTruncated, errors.New("connection lost"))
+	d.engines.SetFailure("s0", connectionLost)
+	d.engines.SetFailure("s3", connectionLost)
+	s := newJob("mixed", 12, 1)
+	d.submit(t, "a", s)
+	time.Sleep(350 * time.Millisecond)
+	d.kill("a")
+	<-d.done["a"]
+	d.start("n")
+	time.Sleep(300 * time.Millisecond)
+	d.engines.SetFailure("s1", connectionLost)
+	d.engines.SetFailure("s2", connectionLost)
+	for n := range 3 {
+		d.servers.Put(rollout.Change[rollout.RegisteredServer]{Key: fmt.Sprint("s", n), Deleted: true})
+	}
+	d.readComplete(t, "n", s)
+	assert.True(t, "some runs continued a text", d.checkSoftware(t, s, software) > 0)
+}
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -134,27 +134,52 @@
 	*ticket = nil
 	if used == nil {
 		var err error
-		if used, err = d.Enqueue(t.runner.dispatchRequest(t.run, t.sample, t.avoid)); err != nil {
+		if used, err = d.Enqueue(t.dispatchRequest(t.avoid)); err != nil {
 			pause.For(ctx, noServerDelay)
 			return nil
 		}
 	}
 	grant, err := used.Wait(ctx)
 	if err != nil {
-		t.avoid = nil
+		t.notPlaced(ctx, err)
 		pause.For(ctx, noServerDelay)
 		return nil
 	}
+	if !t.progress.StartRun(grant.Server.Software) {
+		grant.Done(dispatch.Result{})
+		return nil
+	}
 	return grant
 }
 
+// notPlaced relaxes what the sample requires of its server: first it allows the server that
+// failed last; if no server has the software version that the text so far needs, it drops
+// the text.
+func (t *sampleRun) notPlaced(ctx context.Context, err error) {
+	f := rollout.FailureOf(err)
+	if ctx.Err() == nil && f.Reason == rollout.ReasonNoServer && len(t.avoid) == 0 && t.progress.Software() != nil {
+		t.runner.manager.config.Logger.Write(event.SampleRestarted, event.Fields{
+			"Job": t.run.job.ID, "Sample": t.sample.ID, "Pieces": t.progress.Pieces(), "Software": *t.progress.Software(), "Error": err,
+		})
+		t.progress.Discard()
+	}
+	t.avoid = nil
+}
+
+// dispatchRequest returns the request for a server that may continue the text so far.
+func (t *sampleRun) dispatchRequest(avoid []rollout.ServerName) dispatch.Request {
+	req := t.runner.dispatchRequest(t.run, t.sample, avoid)
+	req.Requirements.Software = t.progress.Software()
+	return req
+}
+
 // acquireFaster gets a place on a faster server if the run is long and one is free.
 func (t *sampleRun) acquireFaster(ctx context.Context, current rollout.ServerName) bool {
 	maxSeconds, search := t.runner.searchFaster(t.run, t.sample, &t.meter)
 	if !search || t.moves >= maxMoves {
 		return false
 	}
-	req := t.runner.dispatchRequest(t.run, t.sample, []rollout.ServerName{current})
+	req := t.dispatchRequest([]rollout.ServerName{current})
 	req.Requirements.MaxUnitTime, req.Immediate = maxSeconds, true
 	grant, err := t.runner.manager.config.Dispatch.Acquire(ctx, req)
 	if err != nil {
@@ -195,7 +220,7 @@
 }
 
 func fragmentOutput(s *job.Sample, p *job.Progress) sampleOutput {
-	return sampleOutput{text: slices.Clone(p.Text()), fragment: &job.Fragment{Sample: s.ID, At: time.Now(), Pieces: p.Pieces(), Versions: p.Versions(), Whole: p.Whole()}}
+	return sampleOutput{text: slices.Clone(p.Text()), fragment: p.Fragment(s.ID, time.Now())}
 }
 
 // finish logs the end of the sample and stores its result.
--- a/lagoonlink/internal/standin/engine.go
+++ b/lagoonlink/internal/standin/engine.go
@@ -25,7 +25,7 @@
 	orders   []rollout.EngineOrder
 	// orderTimes holds the time that each order had left to arrive.
 	orderTimes []time.Duration
-	runs       map[string]int
+	runs       map[string][]Run
 	ended      map[string]time.Time
 	failures   map[rollout.ServerName]error
 	model      rollout.ModelName
@@ -38,7 +38,7 @@
 		PieceDelay: pieceDelay, Pieces: pieces, model: model,
 		versions: map[rollout.ServerName]map[rollout.ModelName]rollout.WeightVersion{},
 		accepted: map[rollout.ServerName]uint64{}, fences: map[rollout.ServerName]uint64{},
-		runs: map[string]int{}, ended: map[string]time.Time{}, failures: map[rollout.ServerName]error{},
+		runs: map[string][]Run{}, ended: map[string]time.Time{}, failures: map[rollout.ServerName]error{},
 	}
 }
 
@@ -54,7 +54,20 @@
 func (e *Engines) Runs(sample string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.runs[sample]
+	return len(e.runs[sample])
+}
+
+// Run is one run of a sample on a server, which continues after a number of pieces.
+type Run struct {
+	Server rollout.ServerName
+	After  int
+}
+
+// History returns the runs of a sample, oldest first.
+func (e *Engines) History(sample string) []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs[sample]...)
 }
 
 // OrderTimes returns the time that each order had left to arrive, oldest first. It is 0
@@ -114,7 +127,7 @@
 func (e *Engines) Sample(ctx context.Context, s rollout.Server, r rollout.SampleRequest) (rollout.PieceReader, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.runs[r.ID]++
+	e.runs[r.ID] = append(e.runs[r.ID], Run{Server: s.Name, After: r.Pieces})
 	return &pieceReader{engines: e, ctx: ctx, server: s.Name, id: r.ID, next: r.Pieces + 1, failure: e.failures[s.Name]}, nil
 }
 
--- a/rollout/job/progress.go
+++ b/rollout/job/progress.go
@@ -26,6 +26,8 @@
 	versions    []rollout.WeightVersion
 	failures    int
 	whole       bool
+	// software is the software version of the servers that generated the text.
+	software rollout.SoftwareVersion
 }
 
 // NewProgress returns a Progress without text.
@@ -40,6 +42,29 @@
 // Whole reports whether the text is complete.
 func (p *Progress) Whole() bool { return p.whole }
 
+// Software returns the software version that a server must have to continue the text, or
+// nil if any server may begin it.
+func (p *Progress) Software() *rollout.SoftwareVersion {
+	if p.pieces == 0 {
+		return nil
+	}
+	v := p.software
+	return &v
+}
+
+// StartRun records that a server of a software version runs the sample next. It returns
+// false if that server must not continue the text.
+func (p *Progress) StartRun(software rollout.SoftwareVersion) bool {
+	if p.pieces > 0 && p.software != software {
+		return false
+	}
+	p.software = software
+	return true
+}
+
+// Discard drops the text so far, so that any server may begin it again.
+func (p *Progress) Discard() { p.text, p.pieces, p.versions, p.whole = nil, 0, nil, false }
+
 // MarkWhole records that the text is complete.
 func (p *Progress) MarkWhole() { p.whole = true }
 
@@ -54,9 +79,15 @@
 		return false
 	}
 	p.text, p.pieces, p.versions, p.whole = slices.Clone(text), f.Pieces, slices.Clone(f.Versions), f.Whole
+	p.software = f.Software
 	return true
 }
 
+// Fragment returns the record of the text so far; its location is not set.
+func (p *Progress) Fragment(sample string, now time.Time) *Fragment {
+	return &Fragment{Sample: sample, At: now, Pieces: p.pieces, Versions: p.Versions(), Whole: p.whole, Software: p.software}
+}
+
 func (p *Progress) usable(versions []rollout.WeightVersion) bool {
 	if len(versions) == 0 || slices.Min(versions) < max(1, p.constraints.MinVersion) {
 		return false
@@ -86,7 +117,7 @@
 	}
 	if !slices.Contains(p.versions, piece.Version) {
 		if p.constraints.SingleVersion && len(p.versions) > 0 {
-			p.text, p.pieces, p.versions = nil, 0, nil
+			p.Discard()
 			return Restart
 		}
 		p.versions = append(p.versions, piece.Version)
--- a/rollout/job/progress_test.go
+++ b/rollout/job/progress_test.go
@@ -110,3 +110,19 @@
 		assert.Equal(t, "first", got[0], 0)
 	})
 }
+
+func TestTextIsContinuedByItsSoftwareVersion(t *testing.T) {
+	p := job.NewProgress(job.Constraints{})
+	assert.True(t, "any server may begin", p.Software() == nil && p.StartRun("v1"))
+	p.Add(piece("a", 1))
+	assert.Equal(t, "needed software", *p.Software(), rollout.SoftwareVersion("v1"))
+	assert.True(t, "another version may not continue", !p.StartRun("v2"))
+	assert.True(t, "the same version may", p.StartRun("v1"))
+	stored := p.Fragment("s", time.Time{})
+	resumed := job.NewProgress(job.Constraints{})
+	assert.True(t, "the stored text is used", resumed.Resume(*stored, []byte("a")))
+	assert.Equal(t, "needed software after a resumption", *resumed.Software(), rollout.SoftwareVersion("v1"))
+	resumed.Discard()
+	assert.True(t, "any server may begin again", resumed.Software() == nil && resumed.StartRun("v2"))
+	assert.Equal(t, "text", string(resumed.Text()), "")
+}
--- a/rollout/job/record.go
+++ b/rollout/job/record.go
@@ -157,6 +157,8 @@
 	Text     Location
 	// Whole reports whether the text is complete.
 	Whole bool `cbor:",omitempty"`
+	// Software is the software version of the servers that generated the text.
+	Software rollout.SoftwareVersion `cbor:",omitempty"`
 }
 
 // Extends reports whether a run gains more from f than from another fragment of the
