dispatch: samples and scores are never suspected of crashing servers

Cause: samples and scoring requests carried a fingerprint like callers' requests, and the dispatcher refuses a convicted fingerprint. Work that was handed in for later has no caller who repeats it, so it is owed all the same.

Change: they carry no fingerprint, on both faces; a crash under them is still a loss that speaks for other requests. Callers' requests are suspected as before.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -72,7 +72,8 @@
 	// now.
 	Immediate bool
 	// Fingerprint identifies the request's content when crashes of servers are
-	// attributed to requests.
+	// attributed to requests. It is 0 for samples and scoring requests, which run until
+	// they succeed or are given up, and are never taken as the cause of a crash.
 	Fingerprint request.Fingerprint
 }
 
@@ -636,6 +637,9 @@
 	for _, f := range ts.inFlight {
 		if f.server == server && !f.crashAttributed {
 			f.crashAttributed = true
+			if f.req.Fingerprint == 0 {
+				continue
+			}
 			inFlight = append(inFlight, request.InFlightRequest{Fingerprint: f.req.Fingerprint, Isolated: f.suspected})
 		}
 	}
--- a/lagoonlink/internal/dispatch/dispatch_test.go
+++ b/lagoonlink/internal/dispatch/dispatch_test.go
@@ -156,3 +156,15 @@
 		assert.Equal(t, "suspects on "+string(name), n, 1)
 	}
 }
+
+// TestSamplesAreNotSuspected checks that requests without a fingerprint are granted after
+// several servers crashed while they ran, and don't share a suspicion.
+func TestSamplesAreNotSuspected(t *testing.T) {
+	d, _, _ := start(t, "a", "b", "c")
+	for range 6 {
+		g, err := acquire(t, d, newRequest(0, 0), 5*time.Second)
+		assert.NoError(t, "grant", err)
+		g.Done(dispatch.Result{ConnectionLost: true, Outcome: placement.Outcome{Failed: true}})
+	}
+	assert.Equal(t, "suspicions", len(d.Suspicions()), 0)
+}
