placement: a server that refuses requests gets a pause before the next

Cause: a refusal lowered only the in-flight limit, by a tenth a second, so the next waiting sample went to the same server at once: to engines that several VMs had filled (503) and to entries of engines that had restarted under another name (421).

Change: after a refusal the server gets nothing from this VM for 50 ms, doubled with each further refusal up to 0.4 s, then one request, then twice as many each 50 ms. Event 725 is logged for the first, second, fourth ... attempt that did not run; 723 has their number.

--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -239,7 +239,7 @@
 	tagged.Counter("sample_runs").Inc(int64(len(t.servers)))
 	fields := event.Fields{
 		"Job": u.job.ID, "Sample": t.sample.ID, "Outcome": outcome, "Pieces": p.Pieces(), "Resumed": t.resumedPieces, "Versions": p.Versions(),
-		"Servers": t.servers, "Waited": t.queueTime.Seconds(), "Age": time.Since(u.submission.At).Seconds(), "Estimate": t.sample.Length,
+		"Servers": t.servers, "Waited": t.queueTime.Seconds(), "Age": time.Since(u.submission.At).Seconds(), "Estimate": t.sample.Length, "NotRun": t.notRun,
 	}
 	if t.sample.Scorer != nil {
 		fields["Scoring"], fields["ScoreAttempts"] = t.scoreTime.Seconds(), t.scoreAttempts
@@ -294,6 +294,8 @@
 	checkpointed int
 	servers      []rollout.ServerName
 	queueTime    time.Duration
+	// notRun counts the attempts that did not run.
+	notRun int
 	// result is the result so far. Its text has a location once the text is stored.
 	result job.Result
 	// scoreTime is the time from the complete text to its score; it and scoreAttempts
@@ -335,9 +337,15 @@
 		return 0, false
 	}
 	t.avoid = []rollout.ServerName{grant.Server.Name}
-	t.runner.manager.config.Logger.Write(event.SampleInterrupted, event.Fields{
-		"Job": t.run.job.ID, "Sample": t.sample.ID, "Server": grant.Server.Name, "Pieces": t.progress.Pieces(), "Verdict": f.Verdict.String(), "Error": err,
-	})
+	if f.Verdict == rollout.NotRun {
+		t.notRun++
+	}
+	// A sample may be refused often while its pool is full; each doubling is logged.
+	if f.Verdict != rollout.NotRun || t.notRun&(t.notRun-1) == 0 {
+		t.runner.manager.config.Logger.Write(event.SampleInterrupted, event.Fields{
+			"Job": t.run.job.ID, "Sample": t.sample.ID, "Server": grant.Server.Name, "Pieces": t.progress.Pieces(), "Verdict": f.Verdict.String(), "NotRun": t.notRun, "Error": err,
+		})
+	}
 	if f.Verdict == rollout.Ran && f.Reason == rollout.ReasonBadRequest {
 		return job.Abandoned, true
 	}
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -87,6 +87,7 @@
 	unitTime   float64
 	unitTimeAt time.Time
 	quota      rateQuota
+	refusals   refusals
 }
 
 // Pool is the placement state of one pool or service.
@@ -190,7 +191,7 @@
 // hasRoom reports whether a server may take a request, regardless of its request rate
 // limit.
 func (p *Pool) hasRoom(now time.Time, s *server, r Requirements) bool {
-	if !s.suits(now, r) || now.Before(s.ejectedUntil) {
+	if !s.suits(now, r) || now.Before(s.ejectedUntil) || !s.refusals.permits(now, s.limit) {
 		return false
 	}
 	if r.MaxUnitTime > 0 && (s.unitTime == 0 || s.unitTime > r.MaxUnitTime || now.Sub(s.unitTimeAt) >= unitTimeMaxAge) {
@@ -317,6 +318,7 @@
 		return
 	}
 	s.inFlight++
+	s.refusals.sent++
 	s.takePermit()
 	if r.Prefix != 0 {
 		s.recordPrefix(now, r.Prefix)
@@ -375,6 +377,7 @@
 	case o.Failed:
 		p.recordFailure(now, s)
 	case o.Refused:
+		s.refusals.recordRefusal(now)
 		s.decreaseLimit(now)
 	default:
 		s.failures, s.ejections = 0, 0
