--- a/rollout/placement/refusal.go
+++ b/rollout/placement/refusal.go
@@ -6,11 +6,11 @@
 const (
 	// refusalPause is the pause after the first refusal of a server; it doubles with each
 	// further one, up to maxRefusalPause.
-	refusalPause    = 50 * time.Millisecond
-	maxRefusalPause = 400 * time.Millisecond
+	refusalPause    = 25 * time.Millisecond
+	maxRefusalPause = 150 * time.Millisecond
 	// recoveryPeriod is the period after a pause in which a server gets as many requests
 	// as its allowance. If it refuses none of them, the allowance doubles.
-	recoveryPeriod = 50 * time.Millisecond
+	recoveryPeriod = 20 * time.Millisecond
 )
 
 // refusals limits the requests to a server that has refused one, because it is full, is
