placement: each class of requests has its own baseline time

Cause: the in-flight limit falls when a request takes three times the shortest recent time; callers' requests take 25 ms and scoring requests 200 ms at the same servers, so every scoring request counted as a sign of overload and the limit fell to its minimum.

Change: the baseline is kept for each class.

Evidence: TestClassesWithDifferentTimesKeepTheLimit failed before.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -626,7 +626,9 @@
 		d.suspects.Succeeded(f.req.Fingerprint)
 		d.publishSuspicions(now)
 	}
-	ts.pool.Ended(now, f.server, m.result.Outcome)
+	outcome := m.result.Outcome
+	outcome.Class = f.req.Requirements.Class
+	ts.pool.Ended(now, f.server, outcome)
 	d.grantQueued(now, ts)
 }
 
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -70,10 +70,12 @@
 )
 
 type server struct {
-	declared         rollout.Server
-	inFlight         int
-	limit            float64
-	baselineUnitTime float64
+	declared rollout.Server
+	inFlight int
+	limit    float64
+	// baselineUnitTime is the shortest recent time per unit of each class of requests, in
+	// seconds. Classes differ: a scoring request may take ten times as long as a caller's.
+	baselineUnitTime map[rollout.Class]float64
 	lastDecrease     time.Time
 	failures         int
 	ejections        int
@@ -112,7 +114,7 @@
 	for _, d := range declared {
 		s := known[d.Name]
 		if s == nil || s.declared.Address != d.Address {
-			s = &server{limit: float64(c.initialLimit()), prefixes: map[uint64]time.Time{}}
+			s = &server{limit: float64(c.initialLimit()), prefixes: map[uint64]time.Time{}, baselineUnitTime: map[rollout.Class]float64{}}
 		}
 		s.declared = d
 		s.limit = min(s.limit, float64(c.MaxConcurrency))
@@ -342,6 +344,8 @@
 
 // Outcome is the result of a request.
 type Outcome struct {
+	// Class is the class of the request.
+	Class rollout.Class
 	// Failed reports whether the server aborted its answer or refused the
 	// connection.
 	Failed bool
@@ -381,7 +385,7 @@
 		s.decreaseLimit(now)
 	default:
 		s.failures, s.ejections = 0, 0
-		s.adaptLimit(now, o.SecondsPerUnit, p.config.MaxConcurrency)
+		s.adaptLimit(now, o, p.config.MaxConcurrency)
 	}
 }
 
@@ -411,17 +415,20 @@
 
 // adaptLimit adjusts the concurrency limit (additive increase, multiplicative
 // decrease). The limit is lowered when the time per unit exceeds slowdownFactor
-// times its baseline. Otherwise, if at least half of the limit is in use, each
+// times the baseline of the request's class. Otherwise, if at least half of the limit is in use, each
 // answer raises it by 1/limit.
-func (s *server) adaptLimit(now time.Time, perUnit float64, maxLimit int) {
+func (s *server) adaptLimit(now time.Time, o Outcome, maxLimit int) {
+	perUnit := o.SecondsPerUnit
 	if perUnit <= 0 {
 		return
 	}
-	if s.baselineUnitTime == 0 || perUnit < s.baselineUnitTime {
-		s.baselineUnitTime = perUnit
+	baseline := s.baselineUnitTime[o.Class]
+	if baseline == 0 || perUnit < baseline {
+		baseline = perUnit
 	}
-	s.baselineUnitTime *= baselineDecay
-	if perUnit > slowdownFactor*s.baselineUnitTime {
+	baseline *= baselineDecay
+	s.baselineUnitTime[o.Class] = baseline
+	if perUnit > slowdownFactor*baseline {
 		s.decreaseLimit(now)
 		return
 	}
--- a/rollout/placement/pool_test.go
+++ b/rollout/placement/pool_test.go
@@ -129,3 +129,19 @@
 	p.Sent(start, "near", r)
 	assert.Equal(t, "server when the own zone is full", pick(p, start, r), rollout.ServerName("far"))
 }
+
+// TestClassesWithDifferentTimesKeepTheLimit plays a server at which callers' requests take
+// 25 ms and scoring requests 200 ms. Neither is a sign of overload.
+func TestClassesWithDifferentTimesKeepTheLimit(t *testing.T) {
+	p := newPool("a")
+	before := p.Views(start)[0].Limit
+	now := start
+	for range 40 {
+		for class, seconds := range map[rollout.Class]float64{rollout.ClassService: 0.025, rollout.ClassScoring: 0.2} {
+			p.Sent(now, "a", placement.Requirements{Class: class})
+			now = now.Add(500 * time.Millisecond)
+			p.Ended(now, "a", placement.Outcome{Class: class, SecondsPerUnit: seconds})
+		}
+	}
+	assert.True(t, "the limit has not fallen", p.Views(now)[0].Limit >= before)
+}
