quotas: refuse at once what can't be booked while the store is away

What callers got: with all servers limited and the store away, each request waited until its deadline, for the next booking was always half a second away.

Cause: the delay after a failed booking didn't grow.

--- a/lagoonlink/internal/quotas/quotas.go
+++ b/lagoonlink/internal/quotas/quotas.go
@@ -23,14 +23,19 @@
 	idleReadInterval    = 2 * time.Second
 	// callTimeout limits a call to the journal. A booking that takes longer is void.
 	callTimeout = 800 * time.Millisecond
-	// failureDelay is the delay before the next booking after a failed call.
-	failureDelay = 500 * time.Millisecond
+	// failureDelay is the delay before the next booking after a failed call; it doubles
+	// with each further one, up to maxFailureDelay, so that requests whose deadline is
+	// earlier are refused at once.
+	failureDelay    = 500 * time.Millisecond
+	maxFailureDelay = 4 * time.Second
 	// minBookingDelay is the minimum delay before the next booking of a server whose
 	// booking was void.
 	minBookingDelay = 50 * time.Millisecond
 	maxReadBytes    = 256 << 10
 )
 
+var partition = rollout.Partition{Topic: quota.Topic}
+
 // PermitReceiver receives limits and the answers to bookings.
 type PermitReceiver interface {
 	SetRateLimit(s rollout.ServerName, rate float64)
@@ -72,7 +77,8 @@
 	known map[rollout.ServerName]knownLimit
 	// unrecorded holds the servers whose limit has changed and is not in the journal yet.
 	unrecorded map[rollout.ServerName]bool
-	failing    bool
+	// failures counts the calls to the journal that failed since the last success.
+	failures int
 }
 
 // New returns a Tracker that knows no limits.
@@ -178,12 +184,10 @@
 	if err == nil {
 		err = t.read(ctx, first, first+rollout.Offset(count))
 	}
-	t.logReachability(ctx, err)
 	if err != nil {
-		// What is not known to be granted is not sent.
-		for _, b := range worthwhile {
-			t.config.Permits.AddPermits(b.Server, nil, time.Now().Add(failureDelay))
-		}
+		t.failed(ctx, worthwhile, err)
+	} else if t.failures > 0 {
+		t.recovered()
 	}
 	for _, s := range t.ledger.Forget(time.Now()) {
 		t.setLimit(s, 0, "Unused")
@@ -191,17 +195,27 @@
 	}
 }
 
-func (t *Tracker) logReachability(ctx context.Context, err error) {
-	failing := err != nil
-	if failing == t.failing || context.Cause(ctx) == context.Canceled {
-		return
+// failed answers the bookings after a failed call: what is not known to be granted is not
+// sent.
+func (t *Tracker) failed(ctx context.Context, batch []quota.Booking, err error) {
+	if t.failures == 0 && !errors.Is(ctx.Err(), context.Canceled) {
+		t.config.Logger.Write(event.QuotaUnavailable, event.Fields{"Partition": partition, "Error": err})
+	}
+	delay := min(failureDelay<<min(t.failures, 10), maxFailureDelay)
+	t.failures++
+	for _, b := range batch {
+		t.config.Permits.AddPermits(b.Server, nil, time.Now().Add(delay))
 	}
-	t.failing = failing
-	p := rollout.Partition{Topic: quota.Topic}
-	if failing {
-		t.config.Logger.Write(event.QuotaUnavailable, event.Fields{"Partition": p, "Error": err})
-	} else {
-		t.config.Logger.Write(event.QuotaAvailable, event.Fields{"Partition": p})
+}
+
+// recovered lets bookings start again at once after calls had failed.
+func (t *Tracker) recovered() {
+	t.failures = 0
+	t.config.Logger.Write(event.QuotaAvailable, event.Fields{"Partition": partition})
+	for s, k := range t.known {
+		if k.rate > 0 {
+			t.config.Permits.AddPermits(s, nil, time.Now())
+		}
 	}
 }
 
@@ -241,7 +255,7 @@
 	if len(encoded) == 0 {
 		return t.next, 0, nil
 	}
-	first, err = t.config.Journal.Append(ctx, rollout.Partition{Topic: quota.Topic}, encoded)
+	first, err = t.config.Journal.Append(ctx, partition, encoded)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -252,7 +266,7 @@
 // read applies the new records of the journal. Those from first to end are this VM's.
 func (t *Tracker) read(ctx context.Context, first, end rollout.Offset) error {
 	for {
-		r, err := t.config.Journal.Read(ctx, rollout.Partition{Topic: quota.Topic}, t.next, maxReadBytes, 0)
+		r, err := t.config.Journal.Read(ctx, partition, t.next, maxReadBytes, 0)
 		var trimmed *rollout.TrimmedError
 		if errors.As(err, &trimmed) && trimmed.First > t.next {
 			t.next = trimmed.First
--- a/lagoonlink/internal/quotas/quotas_test.go
+++ b/lagoonlink/internal/quotas/quotas_test.go
@@ -67,8 +67,17 @@
 	return n
 }
 
-// startVMs starts VMs that each send requests to the server all the time.
-func startVMs(t *testing.T, server *limitedServer, store *standin.Store) {
+// newRequest returns a caller's request that expires after a second.
+func newRequest() dispatch.Request {
+	return dispatch.Request{
+		Target: dispatch.Target{Service: "s"}, Requirements: placement.Requirements{Class: rollout.ClassService}, Tenant: "t", Cost: 1,
+		Deadline: time.Now().Add(time.Second),
+	}
+}
+
+// startVMs starts VMs that each send requests to the server all the time, and returns
+// the dispatcher of one of them.
+func startVMs(t *testing.T, server *limitedServer, store *standin.Store) (d *dispatch.Dispatcher) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	logger := event.NewLogger(log)
@@ -84,22 +93,20 @@
 	}})
 	for n := range vms {
 		var tracker *quotas.Tracker
-		d := dispatch.New(dispatch.Config{
+		d = dispatch.New(dispatch.Config{
 			QueueSize: 64, Limits: fair.Limits{Items: 64, TenantItems: 64}, InForce: inForce, Logger: logger,
 			Reachable: func(string) bool { return true }, Announce: func() {},
 			Book: func(s rollout.ServerName, requests int, urgent bool) bool { return tracker.Book(s, requests, urgent) },
 		})
 		vm := rollout.VMName(fmt.Sprint(n))
 		tracker = quotas.New(quotas.Config{VM: vm, Journal: store.ForVM(vm), Permits: d, Logger: logger})
+		d := d
 		group.Go(func() { _ = d.Run(ctx) })
 		group.Go(func() { _ = tracker.Run(ctx) })
 		for range 2 {
 			group.Go(func() {
 				for ctx.Err() == nil {
-					g, err := d.Acquire(ctx, dispatch.Request{
-						Target: dispatch.Target{Service: "s"}, Requirements: placement.Requirements{Class: rollout.ClassService}, Tenant: "t", Cost: 1,
-						Deadline: time.Now().Add(time.Second),
-					})
+					g, err := d.Acquire(ctx, newRequest())
 					if err != nil {
 						time.Sleep(20 * time.Millisecond)
 						continue
@@ -111,6 +118,7 @@
 			})
 		}
 	}
+	return d
 }
 
 // TestVMsTogetherKeepServersLimit guards against a server that gets far more requests
@@ -134,7 +142,7 @@
 func TestLimitHoldsWhileStoreIsAway(t *testing.T) {
 	store := standin.NewStore(1)
 	server := &limitedServer{limited: true}
-	startVMs(t, server, store)
+	d := startVMs(t, server, store)
 	time.Sleep(learning)
 	setDown := func(down bool) {
 		for n := range vms {
@@ -143,8 +151,12 @@
 	}
 	setDown(true)
 	from := time.Now()
-	time.Sleep(2 * time.Second)
-	assert.AtMost(t, "requests in 2 s", server.between(from, time.Now()), int(1.5*2*rate)+5)
+	time.Sleep(4 * time.Second)
+	assert.AtMost(t, "requests in 4 s", server.between(from, time.Now()), int(1.5*4*rate)+5)
+	asked := time.Now()
+	_, err := d.Acquire(t.Context(), newRequest())
+	assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.NotRun)
+	assert.AtMost(t, "milliseconds until the refusal", time.Since(asked).Milliseconds(), 300)
 	setDown(false)
 	time.Sleep(learning)
 	from = time.Now()
