dispatch, quotas: split by matter, interfaces in the root package, ended limits forgotten

The tracker dropped servers without use but kept those whose limit had ended, one for each restart of a limited server.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -140,15 +140,6 @@
 		server rollout.ServerName
 		report rollout.LoadReport
 	}
-	rateLimitMessage struct {
-		server rollout.ServerName
-		rate   float64
-	}
-	permitsMessage struct {
-		server    rollout.ServerName
-		permits   []time.Time
-		bookAfter time.Time
-	}
 	leavingMessage    struct{ leaving map[string]bool }
 	suspicionsMessage struct{ suspicions []request.SharedSuspicion }
 	viewsMessage      struct{ reply chan []TargetView }
@@ -283,38 +274,12 @@
 	d.send(loadMessage{pool: p, server: s, report: r})
 }
 
-// SetRateLimit records a server's request rate limit in requests a second; 0 means none.
-func (d *Dispatcher) SetRateLimit(s rollout.ServerName, rate float64) {
-	d.send(rateLimitMessage{server: s, rate: rate})
-}
-
-// AddPermits answers a booking: a request may be sent to the server from each of the
-// given times, and the next booking makes sense from bookAfter on.
-func (d *Dispatcher) AddPermits(s rollout.ServerName, permits []time.Time, bookAfter time.Time) {
-	d.send(permitsMessage{server: s, permits: permits, bookAfter: bookAfter})
-}
-
 // SetListedLeaving records the addresses of the servers that the platform lists
 // as leaving.
 func (d *Dispatcher) SetListedLeaving(leaving map[string]bool) {
 	d.send(leavingMessage{leaving: leaving})
 }
 
-// MergeSuspicions merges suspicions received from other VMs.
-func (d *Dispatcher) MergeSuspicions(suspicions []request.SharedSuspicion) {
-	if len(suspicions) > 0 {
-		d.send(suspicionsMessage{suspicions: suspicions})
-	}
-}
-
-// Suspicions returns the suspicions to be sent to other VMs.
-func (d *Dispatcher) Suspicions() []request.SharedSuspicion {
-	if r := d.suspicions.Load(); r != nil {
-		return *r
-	}
-	return nil
-}
-
 // Views returns the state of each target for status pages, or nil if the context
 // ends first.
 func (d *Dispatcher) Views(ctx context.Context) []TargetView {
@@ -340,9 +305,6 @@
 // deadlines.
 const tickInterval = 50 * time.Millisecond
 
-// bookingRetryDelay is the delay after a booking that could not be queued.
-const bookingRetryDelay = 100 * time.Millisecond
-
 // Run processes messages and configuration changes until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	changes := d.config.InForce.Watch()
@@ -421,18 +383,6 @@
 	}
 }
 
-func (d *Dispatcher) setRateLimit(now time.Time, m rateLimitMessage) {
-	if m.rate > 0 {
-		d.rateLimits[m.server] = m.rate
-	} else {
-		delete(d.rateLimits, m.server)
-	}
-	for _, ts := range d.targets {
-		ts.pool.SetRateLimit(m.server, m.rate)
-		d.grantQueued(now, ts)
-	}
-}
-
 // applyConfiguration updates the targets to match a configuration. A target that
 // is no longer declared is kept without servers, so that its requests in flight
 // can complete; its queued requests stay queued until they expire or are canceled.
@@ -562,33 +512,6 @@
 	}
 }
 
-// book books permits for waiting requests, the first of which has the given requirements,
-// at servers with request rate limits.
-func (d *Dispatcher) book(now time.Time, ts *targetState, r placement.Requirements) {
-	if len(d.rateLimits) == 0 || d.config.Book == nil {
-		return
-	}
-	urgent := r.Class != rollout.ClassRollout && r.Class != rollout.ClassScoring
-	for _, s := range ts.pool.StartBookings(now, r, len(ts.waiting)) {
-		if !d.config.Book(s, 1, urgent) {
-			ts.pool.AddPermits(s, nil, now.Add(bookingRetryDelay))
-		}
-	}
-}
-
-// suspectServers returns the servers on which a suspected request is in flight.
-// No other suspect may run there at the same time, so that a crash identifies the
-// request that caused it.
-func (ts *targetState) suspectServers() []rollout.ServerName {
-	var out []rollout.ServerName
-	for _, f := range ts.inFlight {
-		if f.suspected {
-			out = append(out, f.server)
-		}
-	}
-	return out
-}
-
 // refuseUnservable refuses the queued requests that need a software version of which no
 // server is left.
 func (d *Dispatcher) refuseUnservable(now time.Time, ts *targetState) {
@@ -632,40 +555,6 @@
 	d.grantQueued(now, ts)
 }
 
-// attributeCrash attributes a crash to all requests in flight on the server. They
-// all fail within a short time; only the first failure counts as a crash.
-func (d *Dispatcher) attributeCrash(now time.Time, ts *targetState, server rollout.ServerName) {
-	var inFlight []request.InFlightRequest
-	for _, f := range ts.inFlight {
-		if f.server == server && !f.crashAttributed {
-			f.crashAttributed = true
-			if f.req.Fingerprint == 0 {
-				continue
-			}
-			inFlight = append(inFlight, request.InFlightRequest{Fingerprint: f.req.Fingerprint, Isolated: f.suspected})
-		}
-	}
-	suspected, withdrawn := d.suspects.Crashed(now, server, inFlight)
-	if suspected > 0 {
-		d.config.Logger.Write(event.RequestSuspected, event.Fields{"Server": server, "Fingerprints": suspected})
-	}
-	if withdrawn > 0 {
-		d.config.Logger.Write(event.SuspicionWithdrawn, event.Fields{"Server": server, "Fingerprints": withdrawn})
-	}
-	if suspected+withdrawn > 0 {
-		d.publishSuspicions(now)
-	}
-}
-
-// maxSharedSuspicions limits the number of suspicions sent with one probe.
-const maxSharedSuspicions = 8
-
-func (d *Dispatcher) publishSuspicions(now time.Time) {
-	suspicions := d.suspects.Shared(now, maxSharedSuspicions)
-	d.suspicions.Store(&suspicions)
-	d.config.Announce()
-}
-
 // TargetView is the state of a target as shown on status pages.
 type TargetView struct {
 	Target  Target
--- /dev/null
+++ b/lagoonlink/internal/dispatch/suspicions.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"time"
+
+	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/request"
+)
+
+// maxSharedSuspicions limits the number of suspicions sent with one probe.
+const maxSharedSuspicions = 8
+
+// MergeSuspicions merges suspicions received from other VMs.
+func (d *Dispatcher) MergeSuspicions(suspicions []request.SharedSuspicion) {
+	if len(suspicions) > 0 {
+		d.send(suspicionsMessage{suspicions: suspicions})
+	}
+}
+
+// Suspicions returns the suspicions to be sent to other VMs.
+func (d *Dispatcher) Suspicions() []request.SharedSuspicion {
+	if r := d.suspicions.Load(); r != nil {
+		return *r
+	}
+	return nil
+}
+
+// suspectServers returns the servers on which a suspected request is in flight.
+// No other suspect may run there at the same time, so that a crash identifies the
+// request that caused it.
+func (ts *targetState) suspectServers() []rollout.ServerName {
+	var out []rollout.ServerName
+	for _, f := range ts.inFlight {
+		if f.suspected {
+			out = append(out, f.server)
+		}
+	}
+	return out
+}
+
+// attributeCrash attributes a crash to all requests in flight on the server. They
+// all fail within a short time; only the first failure counts as a crash.
+func (d *Dispatcher) attributeCrash(now time.Time, ts *targetState, server rollout.ServerName) {
+	var inFlight []request.InFlightRequest
+	for _, f := range ts.inFlight {
+		if f.server == server && !f.crashAttributed {
+			f.crashAttributed = true
+			if f.req.Fingerprint == 0 {
+				continue
+			}
+			inFlight = append(inFlight, request.InFlightRequest{Fingerprint: f.req.Fingerprint, Isolated: f.suspected})
+		}
+	}
+	suspected, withdrawn := d.suspects.Crashed(now, server, inFlight)
+	if suspected > 0 {
+		d.config.Logger.Write(event.RequestSuspected, event.Fields{"Server": server, "Fingerprints": suspected})
+	}
+	if withdrawn > 0 {
+		d.config.Logger.Write(event.SuspicionWithdrawn, event.Fields{"Server": server, "Fingerprints": withdrawn})
+	}
+	if suspected+withdrawn > 0 {
+		d.publishSuspicions(now)
+	}
+}
+
+func (d *Dispatcher) publishSuspicions(now time.Time) {
+	suspicions := d.suspects.Shared(now, maxSharedSuspicions)
+	d.suspicions.Store(&suspicions)
+	d.config.Announce()
+}
--- a/lagoonlink/internal/origins/origins.go
+++ b/lagoonlink/internal/origins/origins.go
@@ -53,6 +53,8 @@
 	next    rollout.Offset
 }
 
+var _ rollout.StreamOrigins = (*Registry)(nil)
+
 // New returns a Registry that knows no streams.
 func New(c Config) *Registry {
 	return &Registry{config: c, began: make(chan origin.Stream, queueSize), table: origin.NewTable(), reading: make(chan struct{}, 1)}
--- a/lagoonlink/internal/quotas/quotas.go
+++ b/lagoonlink/internal/quotas/quotas.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"lagoonlink.org/lagoonlink/internal/event"
@@ -31,24 +32,19 @@
 	// minBookingDelay is the minimum delay before the next booking of a server whose
 	// booking was void.
 	minBookingDelay = 50 * time.Millisecond
-	maxReadBytes    = 256 << 10
+	// endedLimitAge is how long it is known when the limit of a server ended. It is longer
+	// than any request, whose late response may still state the limit.
+	endedLimitAge = 5 * time.Minute
+	maxReadBytes  = 256 << 10
 )
 
 var partition = rollout.Partition{Topic: quota.Topic}
 
-// PermitReceiver receives limits and the answers to bookings.
-type PermitReceiver interface {
-	SetRateLimit(s rollout.ServerName, rate float64)
-	// AddPermits answers a booking. Requests may be sent from the times of the permits;
-	// another booking makes sense from bookAfter on.
-	AddPermits(s rollout.ServerName, permits []time.Time, bookAfter time.Time)
-}
-
 // Config configures a Tracker.
 type Config struct {
 	VM      rollout.VMName
 	Journal rollout.Journal
-	Permits PermitReceiver
+	Permits rollout.PermitReceiver
 	Logger  *event.Logger
 }
 
@@ -189,10 +185,17 @@
 	} else if t.failures > 0 {
 		t.recovered()
 	}
-	for _, s := range t.ledger.Forget(time.Now()) {
+	t.forget(time.Now())
+}
+
+// forget drops the limits that nobody uses, and the servers whose limits ended long ago.
+func (t *Tracker) forget(now time.Time) {
+	for _, s := range t.ledger.Forget(now) {
 		t.setLimit(s, 0, "Unused")
-		delete(t.known, s)
 	}
+	maps.DeleteFunc(t.known, func(_ rollout.ServerName, k knownLimit) bool {
+		return k.rate == 0 && now.Sub(k.changedAt) >= endedLimitAge
+	})
 }
 
 // failed answers the bookings after a failed call: what is not known to be granted is not
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -46,21 +46,12 @@
 	minAttemptObjectives = 1.5
 )
 
-// Origins knows which software version of its service began a stream.
-type Origins interface {
-	// Began records that a server sent the first event of the stream of a request.
-	Began(request string, software rollout.SoftwareVersion)
-	// Find returns the version that began the stream of a request. It fails with the
-	// verdict NotRun if that can't be determined.
-	Find(ctx context.Context, request string) (rollout.SoftwareVersion, error)
-}
-
 // Config configures a Relay.
 type Config struct {
 	InForce   *inforce.Holder
 	Dispatch  *dispatch.Dispatcher
 	Forwarder rollout.Forwarder
-	Origins   Origins
+	Origins   rollout.StreamOrigins
 	Logger    *event.Logger
 	Metrics   tally.Scope
 }
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -191,6 +191,26 @@
 	NotifyLimits(r LimitReceiver)
 }
 
+// PermitReceiver receives the request rate limits of servers and the permits to send
+// requests to them.
+type PermitReceiver interface {
+	// SetRateLimit sets a server's limit in requests a second; 0 means none.
+	SetRateLimit(s ServerName, rate float64)
+	// AddPermits answers a booking. A request may be sent from the time of each permit;
+	// another booking makes sense from bookAfter on.
+	AddPermits(s ServerName, permits []time.Time, bookAfter time.Time)
+}
+
+// StreamOrigins knows which software version began a stream.
+type StreamOrigins interface {
+	// Began records that a server of a software version sent the first event of the
+	// stream of a request.
+	Began(request string, software SoftwareVersion)
+	// Find returns the software version that began the stream of a request. It fails
+	// with the verdict NotRun if that can't be determined.
+	Find(ctx context.Context, request string) (SoftwareVersion, error)
+}
+
 // EngineState is the state that a model engine reports on request.
 type EngineState struct {
 	// Busy reports whether the engine is executing an order.
