dispatch: a booking takes several requests where the limit allows it

A server with a limit of hundreds of requests a second would have needed as many bookings, of two calls to the store each. A booking now takes a VM's share of what waits, up to what the limit allows in 0.2 s.

--- a/lagoonlink/internal/dispatch/limits.go
+++ b/lagoonlink/internal/dispatch/limits.go
@@ -5,11 +5,16 @@
 
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/placement"
+	"lagoonlink.org/rollout/quota"
 )
 
 // bookingRetryDelay is the delay after a booking that could not be queued.
 const bookingRetryDelay = 100 * time.Millisecond
 
+// bookingPeriod is the period whose requests one booking may take, so that a VM with many
+// waiting requests leaves some of a server's limit to others.
+const bookingPeriod = 200 * time.Millisecond
+
 // Messages about the request rate limits of servers.
 type (
 	rateLimitMessage struct {
@@ -53,9 +58,17 @@
 		return
 	}
 	urgent := r.Class != rollout.ClassRollout && r.Class != rollout.ClassScoring
-	for _, s := range ts.pool.StartBookings(now, r, len(ts.waiting)) {
-		if !d.config.Book(s, 1, urgent) {
+	servers := ts.pool.StartBookings(now, r, len(ts.waiting))
+	for _, s := range servers {
+		if !d.config.Book(s, bookingSize(len(ts.waiting), len(servers), d.rateLimits[s]), urgent) {
 			ts.pool.AddPermits(s, nil, now.Add(bookingRetryDelay))
 		}
 	}
 }
+
+// bookingSize returns the number of requests to book at one of several servers for a
+// number of waiting requests: at most what the server's limit allows in bookingPeriod.
+func bookingSize(waiting, servers int, rate float64) int {
+	share := (waiting + servers - 1) / servers
+	return max(1, min(share, int(rate*bookingPeriod.Seconds()), quota.MaxBooking))
+}
--- a/rollout/quota/record.go
+++ b/rollout/quota/record.go
@@ -16,8 +16,8 @@
 // Schema is the schema version of the records that this program writes and accepts.
 const Schema = 1
 
-// maxBooking limits the requests of one booking.
-const maxBooking = 64
+// MaxBooking limits the requests of one booking.
+const MaxBooking = 64
 
 // Record is one record of the topic. Exactly one of its pointers is set.
 type Record struct {
@@ -71,8 +71,8 @@
 	if m := r.Limit; m != nil && (m.Server == "" || m.Rate < 0 || math.IsNaN(m.Rate) || math.IsInf(m.Rate, 0)) {
 		return Record{}, fmt.Errorf("limit record: got rate %g of server %q", m.Rate, m.Server)
 	}
-	if b := r.Booking; b != nil && (b.Server == "" || b.Requests < 1 || b.Requests > maxBooking) {
-		return Record{}, fmt.Errorf("limit record: got a booking of %d requests for server %q, expected 1 to %d", b.Requests, b.Server, maxBooking)
+	if b := r.Booking; b != nil && (b.Server == "" || b.Requests < 1 || b.Requests > MaxBooking) {
+		return Record{}, fmt.Errorf("limit record: got a booking of %d requests for server %q, expected 1 to %d", b.Requests, b.Server, MaxBooking)
 	}
 	return r, nil
 }
