relay: Retry-After of a request that servers' limits don't admit is true

What callers got: 0.1 s, although the next permit was seconds away, so they came back too early and were refused again.

Cause: a delay of more than a second was taken as a default of the dispatcher and replaced. An overload now keeps its delay.

Evidence: TestRetryAfterOfLimitedServers failed before and passes now.

--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -276,7 +276,8 @@
 	if s.attemptsRun > 0 {
 		f.Verdict = rollout.MayHaveRun
 	}
-	if f.RetryAfter == 0 || f.RetryAfter > time.Second {
+	// An overload states when capacity is available, such as the next permit of a server.
+	if f.RetryAfter == 0 || f.RetryAfter > time.Second && f.Reason != rollout.ReasonOverloaded {
 		f.RetryAfter = retryAfter
 	}
 	return &f
--- a/lagoonlink/internal/relay/resume_test.go
+++ b/lagoonlink/internal/relay/resume_test.go
@@ -36,9 +36,10 @@
 
 // streamVM is one VM in front of servers that answer with streams.
 type streamVM struct {
-	relay   *relay.Relay
-	inForce *inforce.Holder
-	stop    func()
+	relay    *relay.Relay
+	dispatch *dispatch.Dispatcher
+	inForce  *inforce.Holder
+	stop     func()
 }
 
 // startStreamVM starts a VM in front of servers of the given software versions, two of
@@ -54,6 +55,7 @@
 		QueueSize: 64, Limits: fair.Limits{Items: 64, TenantItems: 64}, InForce: v.inForce, Logger: logger,
 		Reachable: func(string) bool { return true }, Announce: func() {},
 	})
+	v.dispatch = d
 	registry := origins.New(origins.Config{Journal: store.ForVM(name), Logger: logger})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -159,3 +161,20 @@
 		})
 	}
 }
+
+// TestRetryAfterOfLimitedServers checks that a caller whose request doesn't fit into the
+// servers' limits is told at once when it will.
+func TestRetryAfterOfLimitedServers(t *testing.T) {
+	v := startStreamVM(t, standin.NewStore(1), "a", "v1")
+	for _, s := range []rollout.ServerName{"v10", "v11"} {
+		v.dispatch.SetRateLimit(s, 0.1)
+		v.dispatch.AddPermits(s, nil, time.Now().Add(5*time.Second))
+	}
+	start := time.Now()
+	_, err := v.stream(t, "r", "")
+	f := rollout.FailureOf(err)
+	assert.Equal(t, "verdict", f.Verdict, rollout.NotRun)
+	assert.Equal(t, "reason", f.Reason, rollout.ReasonOverloaded)
+	assert.True(t, "Retry-After is the time of the next permit", f.RetryAfter > 4*time.Second && f.RetryAfter <= 5*time.Second)
+	assert.AtMost(t, "milliseconds until the refusal", time.Since(start).Milliseconds(), 300)
+}
