--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -226,7 +226,7 @@
 		if !s.request.Resumed {
 			s.relay.config.Origins.Began(s.request.ID, grant.Server.Software)
 		}
-		s.logStream(grant)
+		s.logStream(grant, start)
 		response.Stream = &grantedStream{ResponseStream: response.Stream, onClose: func() { cancel(); grant.Done(result) }}
 		return response, nil
 	}
@@ -235,9 +235,11 @@
 	return response, err
 }
 
-func (s *servedRequest) logStream(grant *dispatch.Grant) {
+// logStream logs the start of a stream whose attempt was sent at the given time.
+func (s *servedRequest) logStream(grant *dispatch.Grant, sent time.Time) {
 	s.relay.config.Logger.Write(event.StreamStarted, event.Fields{
 		"Request": s.request.ID, "Route": s.route.Name, "Server": grant.Server.Name, "Software": grant.Server.Software, "Resumed": s.request.Resumed, "Resumes": s.request.Resumes,
+		"Waited": sent.Sub(s.start).Seconds(), "Took": time.Since(sent).Seconds(), "Refusals": s.refusals,
 	})
 }
 
