dispatch: samples of jobs are suspected again, but never refused for it

Cause, by reading: a VM whose samples run on the servers that a request kills sees losses without that request, takes them for a cut of the network and withdraws the suspicion, for all VMs. Samples that are exempt, or that run on after their conviction, add such losses.

Change: requests carry Deferred instead of losing their fingerprint. Deferred ones, the samples and scores of jobs, count as suspects at most, so they run apart but are never refused. Steps of our own face are as before, their samples may be refused: open. TestSamplesAreNotSuspected asked for no suspicion at all; TestDeferredRequestsAreNotRefused replaces it: owed requests are granted after six crashes, a caller's is refused.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -72,9 +72,12 @@
 	// now.
 	Immediate bool
 	// Fingerprint identifies the request's content when crashes of servers are
-	// attributed to requests. It is 0 for samples and scoring requests, which run until
-	// they succeed or are given up, and are never taken as the cause of a crash.
+	// attributed to requests.
 	Fingerprint request.Fingerprint
+	// Deferred reports whether the request is a sample or a scoring request of a job, which
+	// is owed although servers crashed while they ran it. It is never refused for that, but
+	// runs apart from other suspects.
+	Deferred bool
 }
 
 // Grant is the permission to send one request to a server. Done must be called
@@ -436,7 +439,7 @@
 		m.reply <- grantReply{err: rollout.Refuse(rollout.ReasonUnknownTarget, "pool or service %s%s is not declared", m.req.Target.Pool, m.req.Target.Service)}
 		return
 	}
-	if d.suspects.Standing(now, m.req.Fingerprint) == request.Convicted {
+	if d.standing(now, m.req) == request.Convicted {
 		f := rollout.Refuse(rollout.ReasonSuspect, "requests with fingerprint %016x crashed their backend servers", uint64(m.req.Fingerprint))
 		m.reply <- grantReply{err: f.WithRetryAfter(time.Minute)}
 		return
@@ -487,7 +490,7 @@
 		var unplaced *placement.Requirements
 		it, ok := ts.queue.Next(func(it fair.Item) bool {
 			req := ts.waiting[it.ID].req
-			if d.suspects.Standing(now, req.Fingerprint) == request.Suspected {
+			if d.standing(now, req) == request.Suspected {
 				req.Requirements.Avoid = append(slices.Clone(req.Requirements.Avoid), ts.suspectServers()...)
 			}
 			var found bool
@@ -506,7 +509,7 @@
 		w := ts.waiting[it.ID]
 		delete(ts.waiting, it.ID)
 		ts.pool.Sent(now, server.Name, w.req.Requirements)
-		suspected := d.suspects.Standing(now, w.req.Fingerprint) == request.Suspected
+		suspected := d.standing(now, w.req) == request.Suspected
 		ts.inFlight[it.ID] = &inFlightRequest{req: w.req, server: server.Name, suspected: suspected}
 		w.reply <- grantReply{grant: &Grant{Server: server, dispatcher: d, target: ts.target, id: it.ID}}
 	}
--- a/lagoonlink/internal/dispatch/dispatch_test.go
+++ b/lagoonlink/internal/dispatch/dispatch_test.go
@@ -157,14 +157,27 @@
 	}
 }
 
-// TestSamplesAreNotSuspected checks that requests without a fingerprint are granted after
-// several servers crashed while they ran, and don't share a suspicion.
-func TestSamplesAreNotSuspected(t *testing.T) {
-	d, _, _ := start(t, "a", "b", "c")
-	for range 6 {
-		g, err := acquire(t, d, newRequest(0, 0), 5*time.Second)
-		assert.NoError(t, "grant", err)
-		g.Done(dispatch.Result{ConnectionLost: true, Outcome: placement.Outcome{Failed: true}})
+// TestDeferredRequestsAreNotRefused checks that a request which is owed is granted after
+// several servers crashed while they ran it, whereas another one is refused.
+func TestDeferredRequestsAreNotRefused(t *testing.T) {
+	for name, deferred := range map[string]bool{"deferred": true, "of a caller": false} {
+		t.Run(name, func(t *testing.T) {
+			d, _, _ := start(t, "a", "b", "c")
+			req := newRequest(0, 7)
+			req.Deferred = deferred
+			var err error
+			for range 6 {
+				var g *dispatch.Grant
+				if g, err = acquire(t, d, req, 5*time.Second); err != nil {
+					break
+				}
+				g.Done(dispatch.Result{ConnectionLost: true, Outcome: placement.Outcome{Failed: true}})
+			}
+			if deferred {
+				assert.NoError(t, "grants", err)
+				return
+			}
+			assert.Equal(t, "reason", rollout.FailureOf(err).Reason, rollout.ReasonSuspect)
+		})
 	}
-	assert.Equal(t, "suspicions", len(d.Suspicions()), 0)
 }
--- a/lagoonlink/internal/dispatch/suspicions.go
+++ b/lagoonlink/internal/dispatch/suspicions.go
@@ -8,6 +8,15 @@
 	"lagoonlink.org/rollout/request"
 )
 
+// standing returns how a request is treated.
+func (d *Dispatcher) standing(now time.Time, r Request) request.Standing {
+	s := d.suspects.Standing(now, r.Fingerprint)
+	if s == request.Convicted && r.Deferred {
+		return request.Suspected
+	}
+	return s
+}
+
 // maxSharedSuspicions limits the number of suspicions sent with one probe.
 const maxSharedSuspicions = 8
 
@@ -46,9 +55,6 @@
 	for _, f := range ts.inFlight {
 		if f.server == server && !f.crashAttributed {
 			f.crashAttributed = true
-			if f.req.Fingerprint == 0 {
-				continue
-			}
 			inFlight = append(inFlight, request.InFlightRequest{Fingerprint: f.req.Fingerprint, Isolated: f.suspected})
 		}
 	}
--- a/lagoonlink/internal/holder/holder.go
+++ b/lagoonlink/internal/holder/holder.go
@@ -20,6 +20,7 @@
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/placement"
+	"lagoonlink.org/rollout/request"
 	"lagoonlink.org/rollout/sample"
 )
 
@@ -330,6 +331,7 @@
 			Share:        st.trainer.Share,
 			Cost:         float64(s.MaxTokens),
 			Boost:        s.Urgent,
+			Fingerprint:  request.Fingerprint(prefix),
 		},
 		generation: rollout.Generation{
 			ID:          fmt.Sprintf("%s/%s/%d/%d", h.config.VM, key, s.Index, s.Attempt),
--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -15,6 +15,7 @@
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/job"
 	"lagoonlink.org/rollout/placement"
+	"lagoonlink.org/rollout/request"
 	"lagoonlink.org/rollout/routing"
 	"lagoonlink.org/rollout/scoring"
 )
@@ -288,6 +289,7 @@
 			Prefix: xxh3.HashString(s.Group), Avoid: avoid,
 		},
 		Tenant: u.submission.ID, Share: 1, Cost: float64(max(1, s.Length)),
+		Fingerprint: request.Fingerprint(xxh3.Hash(s.Body) ^ xxh3.HashString(s.Path)), Deferred: true,
 	}
 }
 
--- a/lagoonlink/internal/jobs/score.go
+++ b/lagoonlink/internal/jobs/score.go
@@ -14,6 +14,7 @@
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/job"
 	"lagoonlink.org/rollout/placement"
+	"lagoonlink.org/rollout/request"
 	"lagoonlink.org/rollout/routing"
 	"lagoonlink.org/rollout/scoring"
 )
@@ -175,6 +176,7 @@
 	grant, err := m.config.Dispatch.Acquire(ctx, dispatch.Request{
 		Target: dispatch.TargetOf(v, service), Requirements: placement.Requirements{Class: rollout.ClassScoring, Avoid: avoid},
 		Tenant: t.run.job.ID, Share: 1, Cost: 1, Rank: rank,
+		Fingerprint: request.Fingerprint(xxh3.HashString(q.Host+q.Path) ^ xxh3.Hash(q.Body)), Deferred: true,
 	})
 	if err != nil {
 		e.err = err
