--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -94,7 +94,7 @@
 	OwnershipChanged   = define(712, logrus.InfoLevel, "the partitions that this VM owns changed", "None.")
 	CandidacyChanged   = define(713, logrus.InfoLevel, "this VM started to run jobs, or left them to larger VMs; see Member", "None.")
 	JobAccepted        = define(720, logrus.InfoLevel, "a job was accepted", "None.")
-	JobStarted         = define(721, logrus.InfoLevel, "this VM started to run a job's samples", "None.")
+	JobStarted         = define(721, logrus.InfoLevel, "this VM started to run a job's samples; Configuration is the version in force, 0 if none is, and then the samples wait for one", "None.")
 	JobEnded           = define(722, logrus.InfoLevel, "a job that this VM ran is complete or was ended", "None.")
 	SampleEnded        = define(723, logrus.InfoLevel, "a sample ended; its result is queued for the store", "None.")
 	SampleAbandoned    = define(724, logrus.WarnLevel, "a sample was abandoned", "Look at Cause.")
--- a/lagoonlink/internal/inforce/inforce.go
+++ b/lagoonlink/internal/inforce/inforce.go
@@ -4,6 +4,7 @@
 package inforce
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"sync"
@@ -32,6 +33,8 @@
 
 	mu       sync.Mutex
 	watchers []chan struct{}
+	// changed is closed and replaced on each change; it is nil before anybody waits.
+	changed chan struct{}
 }
 
 // Current returns the view in force, or nil if there is none yet.
@@ -55,6 +58,10 @@
 		return false
 	}
 	h.view.Store(v)
+	if h.changed != nil {
+		close(h.changed)
+		h.changed = nil
+	}
 	for _, w := range h.watchers {
 		select {
 		case w <- struct{}{}:
@@ -78,6 +85,27 @@
 	return w
 }
 
+// Await returns the view in force as soon as ready returns true for it. It fails with the
+// error of ctx if that ends first.
+func (h *Holder) Await(ctx context.Context, ready func(*View) bool) (*View, error) {
+	for {
+		h.mu.Lock()
+		if h.changed == nil {
+			h.changed = make(chan struct{})
+		}
+		v, changed := h.view.Load(), h.changed
+		h.mu.Unlock()
+		if v != nil && ready(v) {
+			return v, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // HashToken returns the hex-encoded SHA-256 hash by which a configuration stores a
 // bearer token.
 func HashToken(token string) string {
--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -11,6 +11,7 @@
 
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/job"
@@ -245,7 +246,13 @@
 	if u == nil {
 		return
 	}
-	m.config.Logger.Write(event.JobStarted, event.Fields{"Job": s.ID, "Samples": len(order), "Age": time.Since(s.At).Round(time.Millisecond).String()})
+	configuration := rollout.ConfigurationVersion(0)
+	if v := m.config.InForce.Current(); v != nil && v.Routes != nil {
+		configuration = v.Routes.Version()
+	}
+	m.config.Logger.Write(event.JobStarted, event.Fields{
+		"Job": s.ID, "Samples": len(order), "Age": time.Since(s.At).Round(time.Millisecond).String(), "Configuration": configuration,
+	})
 	for _, i := range order {
 		ticket, err := m.config.Dispatch.Enqueue(r.dispatchRequest(u, &s.Samples[i], nil))
 		if err != nil {
@@ -281,9 +288,8 @@
 // dispatchRequest returns the request to the dispatcher for a server to run a
 // sample. The route in force determines the service that runs it.
 func (r *runner) dispatchRequest(u *run, s *job.Sample, avoid []rollout.ServerName) dispatch.Request {
-	service, _ := r.service(u, s)
 	return dispatch.Request{
-		Target: dispatch.Target{Pool: rollout.PoolName(service)},
+		Target: dispatch.Target{Pool: rollout.PoolName(r.service(u, s))},
 		Requirements: placement.Requirements{
 			Class: rollout.ClassRollout, Model: u.submission.Model, MinVersion: u.submission.MinVersion,
 			Prefix: xxh3.HashString(s.Group), Avoid: avoid,
@@ -293,18 +299,21 @@
 	}
 }
 
-// service returns the service that runs a sample and the sample's route. Both are
-// zero if no route matches.
-func (r *runner) service(u *run, s *job.Sample) (rollout.ServiceName, rollout.Route) {
-	v := r.manager.config.InForce.Current()
-	if v == nil || v.Routes == nil {
-		return "", rollout.Route{}
-	}
-	route, ok := v.Routes.Find(u.submission.Host, s.Path)
+// service returns the service that runs a sample, or "" if no route in force matches.
+func (r *runner) service(u *run, s *job.Sample) rollout.ServiceName {
+	route, ok := u.findRoute(r.manager.config.InForce.Current(), s)
 	if !ok {
-		return "", rollout.Route{}
+		return ""
+	}
+	return routing.Choose(route, xxh3.HashString(s.ID))
+}
+
+// findRoute returns the route of a sample under a configuration, which may be nil.
+func (u *run) findRoute(v *inforce.View, s *job.Sample) (rollout.Route, bool) {
+	if v == nil || v.Routes == nil {
+		return rollout.Route{}, false
 	}
-	return routing.Choose(route, xxh3.HashString(s.ID)), route
+	return v.Routes.Find(u.submission.Host, s.Path)
 }
 
 // catchUpUnowned reads all partitions that this VM does not own to their ends,
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -9,10 +9,12 @@
 
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/metrics"
 	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/job"
+	"lagoonlink.org/rollout/routing"
 )
 
 // Timeouts and limits for running one sample.
@@ -60,14 +62,10 @@
 		}
 	}()
 	s := &u.submission.Samples[index]
-	_, route := r.service(u, s)
 	t := &sampleRun{
 		runner: r, run: u, sample: s, result: job.Result{Job: u.job.ID, Sample: s.ID, Index: index},
-		progress: job.NewProgress(job.Constraints{
-			MinVersion: u.submission.MinVersion, SingleVersion: route.SingleVersion, MaxFailures: route.MaxAttempts,
-		}),
+		progress: job.NewProgress(job.Constraints{MinVersion: u.submission.MinVersion}),
 	}
-	t.resumeFromFragment()
 	ctx, cancel := context.WithDeadline(u.ctx, u.submission.At.Add(u.submission.Retention+retentionSlack))
 	defer cancel()
 	outcome, done := t.complete(ctx, &ticket)
@@ -82,9 +80,42 @@
 	}
 }
 
+// awaitRoute waits until the configuration in force has a route for the sample: without
+// one, nothing that a route decides is known. It returns false if ctx ended first.
+func (t *sampleRun) awaitRoute(ctx context.Context) bool {
+	_, err := t.runner.manager.config.InForce.Await(ctx, func(v *inforce.View) bool {
+		_, ok := t.run.findRoute(v, t.sample)
+		return ok
+	})
+	t.constrain()
+	return err == nil
+}
+
+// constrain applies the constraints of the route in force to the text so far. It reports
+// whether it dropped the text because that doesn't meet them.
+func (t *sampleRun) constrain() (dropped bool) {
+	v := t.runner.manager.config.InForce.Current()
+	if v == nil || v.Routes == t.routes {
+		return false
+	}
+	route, ok := t.run.findRoute(v, t.sample)
+	if !ok {
+		// The route was removed; what it required holds on.
+		return false
+	}
+	t.routes = v.Routes
+	return t.progress.Constrain(job.Constraints{
+		MinVersion: t.run.submission.MinVersion, SingleVersion: route.SingleVersion, MaxFailures: route.MaxAttempts,
+	})
+}
+
 // complete generates the text of the sample and scores it if it has a scorer. It returns
 // false if ctx ended first. It sets *ticket to nil when it has used the ticket.
 func (t *sampleRun) complete(ctx context.Context, ticket **dispatch.Ticket) (outcome job.Outcome, done bool) {
+	if !t.awaitRoute(ctx) {
+		return 0, false
+	}
+	t.resumeFromFragment()
 	if t.sample.Scorer != nil {
 		if !t.runner.admitUnscored(ctx, ticket) {
 			return 0, false
@@ -106,6 +137,7 @@
 // it is abandoned. It returns false if ctx ended first.
 func (t *sampleRun) generateText(ctx context.Context, ticket **dispatch.Ticket) (outcome job.Outcome, done bool) {
 	for ctx.Err() == nil {
+		t.constrain()
 		grant := t.faster
 		t.faster = nil
 		if grant == nil {
@@ -239,7 +271,7 @@
 	tagged.Counter("sample_runs").Inc(int64(len(t.servers)))
 	fields := event.Fields{
 		"Job": u.job.ID, "Sample": t.sample.ID, "Outcome": outcome, "Pieces": p.Pieces(), "Resumed": t.resumedPieces, "Versions": p.Versions(),
-		"Servers": t.servers, "Waited": t.queueTime.Seconds(), "Age": time.Since(u.submission.At).Seconds(), "Estimate": t.sample.Length, "NotRun": t.notRun,
+		"Servers": t.servers, "Waited": t.queueTime.Seconds(), "Age": time.Since(u.submission.At).Seconds(), "Estimate": t.sample.Length, "NotRun": t.notRun, "Failures": p.Failures(),
 	}
 	if t.sample.Scorer != nil {
 		fields["Scoring"], fields["ScoreAttempts"] = t.scoreTime.Seconds(), t.scoreAttempts
@@ -280,8 +312,10 @@
 	run      *run
 	sample   *job.Sample
 	progress *job.Progress
-	avoid    []rollout.ServerName
-	moves    int
+	// routes is the routing table from which the constraints of progress were taken.
+	routes *routing.Table
+	avoid  []rollout.ServerName
+	moves  int
 	// meter measures the current attempt.
 	meter job.Meter
 	// faster is a place on a faster server that the next attempt takes, or nil.
@@ -349,6 +383,7 @@
 	if f.Verdict == rollout.Ran && f.Reason == rollout.ReasonBadRequest {
 		return job.Abandoned, true
 	}
+	t.constrain()
 	if f.Verdict == rollout.Ran && f.Reason == rollout.ReasonServerFailed && t.progress.CountFailure() {
 		return job.Abandoned, true
 	}
@@ -388,7 +423,7 @@
 			version = piece.Version
 			t.runner.manager.config.Fleet.ObserveVersion(grant.Server.Name, t.run.submission.Model, version)
 		}
-		if t.progress.Add(piece) != job.Keep {
+		if t.constrain() || t.progress.Add(piece) != job.Keep {
 			return errStaleWeights
 		}
 		t.meter.CountPiece(time.Now())
@@ -418,7 +453,7 @@
 }
 
 func (r *runner) pace(u *run, s *job.Sample) *job.Pace {
-	service, _ := r.service(u, s)
+	service := r.service(u, s)
 	p := r.paces[service]
 	if p == nil {
 		p = &job.Pace{}
--- a/rollout/job/progress.go
+++ b/rollout/job/progress.go
@@ -33,6 +33,20 @@
 // NewProgress returns a Progress without text.
 func NewProgress(c Constraints) *Progress { return &Progress{constraints: c} }
 
+// Constrain replaces the constraints, because another configuration came into force. It
+// drops the text so far if that doesn't meet them, and reports whether it did.
+func (p *Progress) Constrain(c Constraints) (dropped bool) {
+	p.constraints = c
+	if p.pieces == 0 || p.usable(p.versions) {
+		return false
+	}
+	p.Discard()
+	return true
+}
+
+// Failures returns the number of attempts that failed at a server.
+func (p *Progress) Failures() int { return p.failures }
+
 // Pieces returns the number of pieces of the text so far.
 func (p *Progress) Pieces() int { return p.pieces }
 
--- a/rollout/job/progress_test.go
+++ b/rollout/job/progress_test.go
@@ -40,6 +40,16 @@
 		p := job.NewProgress(job.Constraints{MaxFailures: 3})
 		assert.Equal(t, "failures", []bool{p.CountFailure(), p.CountFailure(), p.CountFailure()}, []bool{false, false, true})
 	})
+	t.Run("drops a text that new constraints forbid", func(t *testing.T) {
+		p := job.NewProgress(job.Constraints{MinVersion: 1})
+		assert.True(t, "nothing to drop", !p.Constrain(job.Constraints{MinVersion: 1, SingleVersion: true, MaxFailures: 2}))
+		p.Add(piece("a", 1))
+		assert.True(t, "one version is kept", !p.Constrain(job.Constraints{MinVersion: 1}))
+		p.Add(piece("b", 2))
+		assert.True(t, "two versions are dropped", p.Constrain(job.Constraints{MinVersion: 1, SingleVersion: true, MaxFailures: 2}))
+		assert.Equal(t, "text", string(p.Text()), "")
+		assert.Equal(t, "failures", []bool{p.CountFailure(), p.CountFailure()}, []bool{false, true})
+	})
 	for name, c := range map[string]struct {
 		constraints job.Constraints
 		versions    []rollout.WeightVersion
