--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"lagoonlink.org/rollout/fair"
 	"lagoonlink.org/rollout/placement"
 	"lagoonlink.org/rollout/request"
+	"lagoonlink.org/rollout/routing"
 )
 
 // Config configures a Dispatcher.
@@ -60,7 +61,10 @@
 // Request describes a request that needs a backend server. Tenant, Share, Cost,
 // Deadline, Boost and Rank are those of fair.Item.
 type Request struct {
-	Target       Target
+	Target Target
+	// Resolve, if set, determines the target in place of Target: when the request is
+	// queued, and again while it waits, whenever another configuration comes into force.
+	Resolve      Resolver
 	Requirements placement.Requirements
 	Tenant       string
 	Share        int
@@ -104,6 +108,9 @@
 	g.dispatcher.send(doneMessage{target: g.target, id: g.id, result: r, crashed: crashed})
 }
 
+// Target returns the target to which the server belongs.
+func (g *Grant) Target() Target { return g.target }
+
 // ObserveVersion records a weight version that the server reported with tokens.
 func (g *Grant) ObserveVersion(m rollout.ModelName, v rollout.WeightVersion) {
 	g.dispatcher.send(versionMessage{target: g.target, server: g.Server.Name, model: m, version: v})
@@ -121,11 +128,8 @@
 		req   Request
 		reply chan grantReply
 	}
-	cancelMessage struct {
-		target Target
-		id     uint64
-	}
-	doneMessage struct {
+	cancelMessage struct{ id uint64 }
+	doneMessage   struct {
 		target Target
 		id     uint64
 		result Result
@@ -160,6 +164,8 @@
 	// rateLimits holds the request rate limits of servers, also of unknown ones.
 	rateLimits  map[rollout.ServerName]float64
 	appliedView *inforce.View
+	// resolvedRoutes is the routing table under which the queued requests were resolved.
+	resolvedRoutes *routing.Table
 	// stopped is closed when Run returns; messages are not answered after that.
 	stopped chan struct{}
 }
@@ -184,7 +190,9 @@
 
 // targetState holds the queue and the servers of one target.
 type targetState struct {
-	target   Target
+	target Target
+	// declared reports whether the configuration in force declares the target.
+	declared bool
 	queue    *fair.Queue
 	pool     *placement.Pool
 	waiting  map[uint64]enqueueMessage
@@ -221,7 +229,6 @@
 // otherwise a server slot may stay reserved for a request that is never sent.
 type Ticket struct {
 	dispatcher *Dispatcher
-	target     Target
 	id         uint64
 	reply      chan grantReply
 }
@@ -236,7 +243,7 @@
 		d.config.Logger.Write(event.QueueFull, event.Fields{"Duty": "dispatch"})
 		return nil, rollout.Refuse(rollout.ReasonOverloaded, "the dispatcher's message channel is full").WithRetryAfter(time.Second)
 	}
-	return &Ticket{dispatcher: d, target: req.Target, id: m.id, reply: m.reply}, nil
+	return &Ticket{dispatcher: d, id: m.id, reply: m.reply}, nil
 }
 
 // Wait waits for the grant until the context ends.
@@ -255,7 +262,7 @@
 // Abandon cancels the queued request. If it has been granted meanwhile, the grant
 // is released.
 func (t *Ticket) Abandon() {
-	t.dispatcher.send(cancelMessage{target: t.target, id: t.id})
+	t.dispatcher.send(cancelMessage{id: t.id})
 	select {
 	case r := <-t.reply:
 		if r.grant != nil {
@@ -388,7 +395,7 @@
 
 // applyConfiguration updates the targets to match a configuration. A target that
 // is no longer declared is kept without servers, so that its requests in flight
-// can complete; its queued requests stay queued until they expire or are canceled.
+// can complete; its queued requests move to another target or are refused.
 func (d *Dispatcher) applyConfiguration(v *inforce.View) {
 	declared := map[Target]bool{}
 	for _, p := range v.Configuration.Pools {
@@ -402,15 +409,23 @@
 		reserve := int(callersShare * float64(s.MaxConcurrency))
 		d.ensureTarget(t).pool.Configure(d.placementConfig(s.MaxConcurrency, reserve), s.Servers)
 	}
+	now := time.Now()
 	for t, ts := range d.targets {
-		if !declared[t] {
+		if ts.declared = declared[t]; !ts.declared {
 			ts.pool.Configure(d.placementConfig(1, 0), nil)
 		}
 		ts.pool.SetListedLeaving(d.leaving)
 		for s, rate := range d.rateLimits {
 			ts.pool.SetRateLimit(s, rate)
 		}
-		d.grantQueued(time.Now(), ts)
+	}
+	if d.resolvedRoutes != v.Routes {
+		d.resolvedRoutes = v.Routes
+		d.resolveQueued(now)
+	}
+	for _, ts := range d.targets {
+		d.refuseUnservable(now, ts)
+		d.grantQueued(now, ts)
 	}
 }
 
@@ -434,6 +449,10 @@
 }
 
 func (d *Dispatcher) enqueue(now time.Time, m enqueueMessage) {
+	if err := d.resolve(&m.req); err != nil {
+		m.reply <- grantReply{err: err}
+		return
+	}
 	ts := d.targets[m.req.Target]
 	if ts == nil {
 		m.reply <- grantReply{err: rollout.Refuse(rollout.ReasonUnknownTarget, "pool or service %s%s is not declared", m.req.Target.Pool, m.req.Target.Service)}
@@ -468,14 +487,11 @@
 }
 
 func (d *Dispatcher) cancel(m cancelMessage) {
-	ts := d.targets[m.target]
-	if ts == nil {
-		return
-	}
-	if w, ok := ts.waiting[m.id]; ok {
-		ts.queue.Remove(m.id)
-		delete(ts.waiting, m.id)
-		w.reply <- grantReply{err: rollout.Refuse(rollout.ReasonCanceled, "the request was canceled in the queue")}
+	for _, ts := range d.targets {
+		if ts.queue.Remove(m.id) {
+			d.refuseQueued(ts, m.id, rollout.Refuse(rollout.ReasonCanceled, "the request was canceled in the queue"))
+			return
+		}
 	}
 }
 
@@ -515,17 +531,6 @@
 	}
 }
 
-// refuseUnservable refuses the queued requests that need a software version of which no
-// server is left.
-func (d *Dispatcher) refuseUnservable(now time.Time, ts *targetState) {
-	for id, w := range ts.waiting {
-		if r := w.req.Requirements; r.Software != nil && !ts.pool.Serves(now, r) {
-			ts.queue.Remove(id)
-			d.refuseQueued(ts, id, noServer(w.req.Target))
-		}
-	}
-}
-
 func noServer(t Target) *rollout.Failure {
 	return rollout.Refuse(rollout.ReasonNoServer, "no backend server of %s%s can take the request", t.Pool, t.Service).WithRetryAfter(time.Second)
 }
--- /dev/null
+++ b/lagoonlink/internal/dispatch/resolve.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/inforce"
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/placement"
+)
+
+// Resolver returns a request's target under a configuration. It must not block. Its error
+// is of type *rollout.Failure with the verdict NotRun.
+type Resolver func(v *inforce.View) (Target, error)
+
+// resolve sets the target of a request under the configuration in force.
+func (d *Dispatcher) resolve(req *Request) error {
+	if req.Resolve == nil {
+		return nil
+	}
+	if d.appliedView == nil {
+		_, err := d.config.InForce.Require()
+		if err == nil {
+			err = rollout.Refuse(rollout.ReasonNoConfiguration, "the configuration comes into force").WithRetryAfter(tickInterval)
+		}
+		return err
+	}
+	var err error
+	req.Target, err = req.Resolve(d.appliedView)
+	return err
+}
+
+// resolveQueued decides again, under the configuration that came into force, at which
+// targets the queued requests wait. Requests that have no target any more are refused.
+func (d *Dispatcher) resolveQueued(now time.Time) {
+	var moved []enqueueMessage
+	refused := 0
+	for t, ts := range d.targets {
+		for id, w := range ts.waiting {
+			if w.req.Resolve == nil {
+				continue
+			}
+			err := d.resolve(&w.req)
+			if err == nil && w.req.Target == t {
+				continue
+			}
+			ts.queue.Remove(id)
+			if err != nil {
+				refused++
+				d.refuseQueued(ts, id, rollout.FailureOf(err))
+				continue
+			}
+			delete(ts.waiting, id)
+			moved = append(moved, w)
+		}
+	}
+	if len(moved)+refused > 0 {
+		d.config.Logger.Write(event.QueuedMoved, event.Fields{"Version": d.appliedView.Version, "Moved": len(moved), "Refused": refused})
+	}
+	// The order of arrival is kept.
+	slices.SortFunc(moved, func(a, b enqueueMessage) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	for _, m := range moved {
+		d.enqueue(now, m)
+	}
+}
+
+// refuseUnservable refuses the queued requests that no server of their target could take
+// even if it were idle. Requests without a deadline wait for a server, unless they need a
+// software version.
+func (d *Dispatcher) refuseUnservable(now time.Time, ts *targetState) {
+	usable := ts.pool.Serves(now, placement.Requirements{})
+	for id, w := range ts.waiting {
+		r := w.req.Requirements
+		if ts.declared && r.Software == nil && w.req.Deadline.IsZero() {
+			continue
+		}
+		if usable && r.Software == nil && len(r.Avoid) == 0 || ts.pool.Serves(now, r) {
+			continue
+		}
+		ts.queue.Remove(id)
+		d.refuseQueued(ts, id, noServer(w.req.Target))
+	}
+}
--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -69,6 +69,7 @@
 	RequestFailed      = define(400, logrus.WarnLevel, "an attempt to run a request failed", "If it repeats, look at the backend server.")
 	RequestSuspected   = define(401, logrus.WarnLevel, "requests are suspected of crashing a backend server", "Find the callers of these requests; refusals name the fingerprint in Error.")
 	SuspicionWithdrawn = define(402, logrus.InfoLevel, "suspicions of crashing a backend server were withdrawn, because other servers were lost at the same time", "Look for a cut of an availability zone or of this VM.")
+	QueuedMoved        = define(403, logrus.InfoLevel, "a configuration came into force that sends queued requests to other services; Refused counts those that no service may run any more", "None.")
 	StepOpened         = define(500, logrus.InfoLevel, "a step was opened", "None.")
 	StepClosed         = define(501, logrus.InfoLevel, "a step was closed", "None.")
 	StepDropped        = define(502, logrus.WarnLevel, "a step was dropped because its trainer sent no pull within Timing.StepIdle", "None if the trainer continues the step on another entry VM.")
--- a/lagoonlink/internal/gateway/configuration_test.go
+++ b/lagoonlink/internal/gateway/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -80,3 +81,27 @@
 		assert.True(t, "engines changed weights", len(d.engines.Orders()) > 0)
 	})
 }
+
+// registerAt registers a server of another service than the pool of [deploy].
+func (d *deployment) registerAt(service rollout.ServiceName, name rollout.ServerName) {
+	d.servers.Put(rollout.Change[rollout.RegisteredServer]{Key: string(name), Value: rollout.RegisteredServer{
+		Name: name, Service: service, Address: d.address, Slots: 4, Versions: map[rollout.ModelName]rollout.WeightVersion{model: 1},
+	}})
+}
+
+// TestQueuedSamplesFollowTheirRoute guards against samples that are never run, because
+// they wait for a service that their route no longer leads to.
+func TestQueuedSamplesFollowTheirRoute(t *testing.T) {
+	d := deploy(t, 100, 4*time.Millisecond, "a")
+	s := newJob("moved", 60, 1)
+	d.submit(t, "a", s)
+	d.awaitLog(t, "started to run a job's samples")
+	d.registerAt("other", "o0")
+	d.registerAt("other", "o1")
+	d.declare(2, jobsRoute("other"), pool("pool"), pool("other"))
+	time.Sleep(100 * time.Millisecond)
+	for n := range servers {
+		d.servers.Put(rollout.Change[rollout.RegisteredServer]{Key: fmt.Sprint("s", n), Deleted: true})
+	}
+	d.readComplete(t, "a", s)
+}
--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -56,7 +56,7 @@
 	ctx    context.Context
 	runs   map[string]*run
 	behind map[rollout.ModelName]uint64
-	paces  map[rollout.ServiceName]*job.Pace
+	paces  map[dispatch.Target]*job.Pace
 	// scoreTimes holds the response times of the scorers' routes, by name.
 	scoreTimes map[string]*scoring.ResponseTimes
 	closed     bool
@@ -66,7 +66,7 @@
 
 func newRunner(m *Manager) *runner {
 	return &runner{
-		manager: m, runs: map[string]*run{}, behind: map[rollout.ModelName]uint64{}, paces: map[rollout.ServiceName]*job.Pace{},
+		manager: m, runs: map[string]*run{}, behind: map[rollout.ModelName]uint64{}, paces: map[dispatch.Target]*job.Pace{},
 		scoreTimes: map[string]*scoring.ResponseTimes{}, unscored: make(chan struct{}, maxUnscored),
 	}
 }
@@ -286,10 +286,12 @@
 }
 
 // dispatchRequest returns the request to the dispatcher for a server to run a
-// sample. The route in force determines the service that runs it.
+// sample. The route in force when it is granted determines the service that runs it.
 func (r *runner) dispatchRequest(u *run, s *job.Sample, avoid []rollout.ServerName) dispatch.Request {
 	return dispatch.Request{
-		Target: dispatch.Target{Pool: rollout.PoolName(r.service(u, s))},
+		Resolve: func(v *inforce.View) (dispatch.Target, error) {
+			return resolveRoute(v, u.submission.Host, s.Path, s.ID)
+		},
 		Requirements: placement.Requirements{
 			Class: rollout.ClassRollout, Model: u.submission.Model, MinVersion: u.submission.MinVersion,
 			Prefix: xxh3.HashString(s.Group), Avoid: avoid,
@@ -299,13 +301,17 @@
 	}
 }
 
-// service returns the service that runs a sample, or "" if no route in force matches.
-func (r *runner) service(u *run, s *job.Sample) rollout.ServiceName {
-	route, ok := u.findRoute(r.manager.config.InForce.Current(), s)
+// resolveRoute returns the target of a request under a configuration. The key chooses
+// among the services of a split route.
+func resolveRoute(v *inforce.View, host, path, key string) (dispatch.Target, error) {
+	route, ok := rollout.Route{}, false
+	if v.Routes != nil {
+		route, ok = v.Routes.Find(host, path)
+	}
 	if !ok {
-		return ""
+		return dispatch.Target{}, rollout.Refuse(rollout.ReasonUnknownTarget, "no route of host %s matches path %s", host, path)
 	}
-	return routing.Choose(route, xxh3.HashString(s.ID))
+	return dispatch.TargetOf(v, routing.Choose(route, xxh3.HashString(key))), nil
 }
 
 // findRoute returns the route of a sample under a configuration, which may be nil.
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -206,12 +206,12 @@
 }
 
 // acquireFaster gets a place on a faster server if the run is long and one is free.
-func (t *sampleRun) acquireFaster(ctx context.Context, current rollout.ServerName) bool {
-	maxSeconds, search := t.runner.searchFaster(t.run, t.sample, &t.meter)
+func (t *sampleRun) acquireFaster(ctx context.Context, current *dispatch.Grant) bool {
+	maxSeconds, search := t.runner.searchFaster(current.Target(), &t.meter)
 	if !search || t.moves >= maxMoves {
 		return false
 	}
-	req := t.dispatchRequest([]rollout.ServerName{current})
+	req := t.dispatchRequest([]rollout.ServerName{current.Server.Name})
 	req.Requirements.MaxUnitTime, req.Immediate = maxSeconds, true
 	grant, err := t.runner.manager.config.Dispatch.Acquire(ctx, req)
 	if err != nil {
@@ -354,7 +354,7 @@
 	switch {
 	case err == nil:
 		grant.Done(result)
-		t.runner.observePace(t.run, t.sample, &t.meter)
+		t.runner.observePace(grant.Target(), &t.meter)
 		t.progress.MarkWhole()
 		return job.Done, true
 	case ctx.Err() != nil, errors.Is(err, errStaleWeights), errors.Is(err, errSlowServer):
@@ -428,7 +428,7 @@
 		}
 		t.meter.CountPiece(time.Now())
 		t.checkpoint()
-		if t.acquireFaster(ctx, grant.Server.Name) || t.moves < maxMoves && t.runner.isSlow(t.run, t.sample, &t.meter) {
+		if t.acquireFaster(ctx, grant) || t.moves < maxMoves && t.runner.isSlow(grant.Target(), &t.meter) {
 			t.moves++
 			return errSlowServer
 		}
@@ -452,30 +452,30 @@
 	return err
 }
 
-func (r *runner) pace(u *run, s *job.Sample) *job.Pace {
-	service := r.service(u, s)
-	p := r.paces[service]
+// pace returns the pace of the runs at a target. The caller must hold r.mu.
+func (r *runner) pace(target dispatch.Target) *job.Pace {
+	p := r.paces[target]
 	if p == nil {
 		p = &job.Pace{}
-		r.paces[service] = p
+		r.paces[target] = p
 	}
 	return p
 }
 
-func (r *runner) observePace(u *run, s *job.Sample, m *job.Meter) {
+func (r *runner) observePace(target dispatch.Target, m *job.Meter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pace(u, s).Observe(m)
+	r.pace(target).Observe(m)
 }
 
-func (r *runner) isSlow(u *run, s *job.Sample, m *job.Meter) bool {
+func (r *runner) isSlow(target dispatch.Target, m *job.Meter) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.pace(u, s).Slow(m)
+	return r.pace(target).Slow(m)
 }
 
-func (r *runner) searchFaster(u *run, s *job.Sample, m *job.Meter) (maxSeconds float64, search bool) {
+func (r *runner) searchFaster(target dispatch.Target, m *job.Meter) (maxSeconds float64, search bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.pace(u, s).Faster(m)
+	return r.pace(target).Faster(m)
 }
--- a/lagoonlink/internal/jobs/score.go
+++ b/lagoonlink/internal/jobs/score.go
@@ -10,12 +10,12 @@
 
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/job"
 	"lagoonlink.org/rollout/placement"
 	"lagoonlink.org/rollout/request"
-	"lagoonlink.org/rollout/routing"
 	"lagoonlink.org/rollout/scoring"
 )
 
@@ -172,22 +172,25 @@
 		return scoreEvent{err: rollout.Fail(rollout.NotRun, rollout.ReasonUnknownTarget, errNoScorerRoute)}
 	}
 	e := scoreEvent{route: route}
-	service := routing.Choose(route, xxh3.HashString(q.ID))
 	grant, err := m.config.Dispatch.Acquire(ctx, dispatch.Request{
-		Target: dispatch.TargetOf(v, service), Requirements: placement.Requirements{Class: rollout.ClassScoring, Avoid: avoid},
-		Tenant: t.run.job.ID, Share: 1, Cost: 1, Rank: rank,
+		Resolve:      func(v *inforce.View) (dispatch.Target, error) { return resolveRoute(v, q.Host, q.Path, q.ID) },
+		Requirements: placement.Requirements{Class: rollout.ClassScoring, Avoid: avoid},
+		Tenant:       t.run.job.ID, Share: 1, Cost: 1, Rank: rank,
 		Fingerprint: request.Fingerprint(xxh3.HashString(q.Host+q.Path) ^ xxh3.Hash(q.Body)), Deferred: true,
 	})
 	if err != nil {
 		e.err = err
 		return e
 	}
+	if r, ok := m.config.InForce.Current().Routes.Find(q.Host, q.Path); ok {
+		e.route = r
+	}
 	e.server = grant.Server.Name
 	select {
 	case events <- e:
 	case <-ctx.Done():
 	}
-	timeout := route.Timeout
+	timeout := e.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultScoreTimeout
 	}
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -65,14 +65,15 @@
 type servedRequest struct {
 	relay   *Relay
 	request rollout.ForwardedRequest
-	route   rollout.Route
-	// target is chosen once, so that all attempts go to the same service or pool.
-	target      dispatch.Target
+	// route is the route on which the request arrived.
+	route       rollout.Route
 	fingerprint request.Fingerprint
 	// software is the software version that began the stream that the request resumes,
 	// or nil if any server may run the request.
 	software *rollout.SoftwareVersion
 	start    time.Time
+	// sentTo is the target of the last attempt.
+	sentTo dispatch.Target
 	// attemptsRun counts the attempts that ran or may have run, refusals the ones that
 	// certainly did not run.
 	attemptsRun int
@@ -89,10 +90,7 @@
 	if err != nil {
 		return rollout.Route{}, err
 	}
-	path := target
-	if u, err := url.ParseRequestURI(target); err == nil {
-		path = u.Path
-	}
+	path := pathOf(target)
 	route, ok := v.Routes.Find(host, path)
 	if !ok {
 		return rollout.Route{}, rollout.Refuse(rollout.ReasonUnknownTarget, "no route of host %s matches path %s in configuration version %d", host, path, v.Routes.Version())
@@ -127,9 +125,8 @@
 		}
 	}()
 	q.Streamed = route.Kind == rollout.RouteStream
-	service := routing.Choose(route, xxh3.HashString(q.ID))
 	s := &servedRequest{
-		relay: r, request: q, route: route, target: r.target(service), start: start, verdict: rollout.NotRun,
+		relay: r, request: q, route: route, start: start, verdict: rollout.NotRun,
 		fingerprint: request.Fingerprint(xxh3.HashString(q.Host+q.Target) ^ xxh3.Hash(q.Body)),
 	}
 	response, err := s.serve(ctx)
@@ -137,12 +134,29 @@
 	return response, err
 }
 
-func (r *Relay) target(name rollout.ServiceName) dispatch.Target {
-	v := r.config.InForce.Current()
-	if v == nil {
-		return dispatch.Target{Service: name}
+// currentRoute returns the request's route under a configuration, or the one on which the
+// request arrived if that was removed since.
+func (s *servedRequest) currentRoute(v *inforce.View) rollout.Route {
+	if v != nil && v.Routes != nil {
+		if route, ok := v.Routes.Find(s.request.Host, pathOf(s.request.Target)); ok {
+			return route
+		}
+	}
+	return s.route
+}
+
+// target returns the request's service or pool under a configuration. All attempts under
+// the same routes have the same target.
+func (s *servedRequest) target(v *inforce.View) dispatch.Target {
+	return dispatch.TargetOf(v, routing.Choose(s.currentRoute(v), xxh3.HashString(s.request.ID)))
+}
+
+// pathOf returns the path of a request target.
+func pathOf(target string) string {
+	if u, err := url.ParseRequestURI(target); err == nil {
+		return u.Path
 	}
-	return dispatch.TargetOf(v, name)
+	return target
 }
 
 func (s *servedRequest) serve(ctx context.Context) (rollout.ForwardedResponse, error) {
@@ -158,6 +172,7 @@
 		if err != nil {
 			return rollout.ForwardedResponse{}, s.refusal(err)
 		}
+		s.sentTo = grant.Target()
 		response, err := s.attempt(ctx, grant)
 		if err == nil {
 			if response.Status < 500 || !s.mayRetry(ctx) {
@@ -184,19 +199,22 @@
 }
 
 // mayRetry reports whether a request that may have run can be sent to another
-// server.
+// server. The route in force may permit less than the one on which the request arrived.
 func (s *servedRequest) mayRetry(ctx context.Context) bool {
-	return s.route.Kind == rollout.RouteIdempotent && s.attemptsRun < s.route.MaxAttempts && ctx.Err() == nil
+	current := s.currentRoute(s.relay.config.InForce.Current())
+	return s.route.Kind == rollout.RouteIdempotent && current.Kind == rollout.RouteIdempotent &&
+		s.attemptsRun < min(s.route.MaxAttempts, current.MaxAttempts) && ctx.Err() == nil
 }
 
 func (s *servedRequest) newRequest(ctx context.Context) dispatch.Request {
 	deadline, _ := ctx.Deadline()
 	class := rollout.ClassService
-	if s.target.Pool != "" {
+	if v := s.relay.config.InForce.Current(); v != nil && s.target(v).Pool != "" {
 		class = rollout.ClassInteractive
 	}
 	return dispatch.Request{
-		Target: s.target, Requirements: placement.Requirements{Class: class, Avoid: s.avoid, Software: s.software}, Tenant: s.route.Name, Share: 1, Cost: 1,
+		Resolve:      func(v *inforce.View) (dispatch.Target, error) { return s.target(v), nil },
+		Requirements: placement.Requirements{Class: class, Avoid: s.avoid, Software: s.software}, Tenant: s.route.Name, Share: 1, Cost: 1,
 		Deadline: deadline, Fingerprint: s.fingerprint,
 	}
 }
@@ -302,7 +320,7 @@
 	}
 	scope.Histogram("request_seconds", metrics.LatencyBuckets).RecordDuration(duration)
 	fields := event.Fields{
-		"Request": s.request.ID, "Route": s.route.Name, "Service": s.target, "Attempts": s.attemptsRun, "Refusals": s.refusals,
+		"Request": s.request.ID, "Route": s.route.Name, "Service": s.sentTo, "Attempts": s.attemptsRun, "Refusals": s.refusals,
 		"Servers": s.avoid, "Took": duration.Round(time.Microsecond).String(),
 	}
 	switch {
