--- a/rollout/httpclient/httpclient.go
+++ b/rollout/httpclient/httpclient.go
@@ -76,7 +76,8 @@
 
 // Client sends HTTP requests. It does not follow redirects.
 type Client struct {
-	http *http.Client
+	http      *http.Client
+	transport *http.Transport
 	// buffered is the total size of the bodies that are being read, maxBuffered its
 	// limit.
 	buffered    atomic.Int64
@@ -156,21 +157,36 @@
 		}
 		return &countingConn{Conn: conn, client: client}, nil
 	}
-	client.http = &http.Client{
-		Transport: &http.Transport{
-			DialContext:           dial,
-			MaxIdleConnsPerHost:   c.MaxIdlePerServer,
-			IdleConnTimeout:       c.IdleTimeout,
-			ResponseHeaderTimeout: c.ResponseHeaderTimeout,
-			DisableCompression:    true,
-			WriteBufferSize:       c.BufferSize,
-			ReadBufferSize:        c.BufferSize,
-
-			MaxResponseHeaderBytes: cmp.Or(c.MaxHeaderBytes, defaultHeaderBytes),
-		},
+	client.setTransport(&http.Transport{
+		DialContext:           dial,
+		MaxIdleConnsPerHost:   c.MaxIdlePerServer,
+		IdleConnTimeout:       c.IdleTimeout,
+		ResponseHeaderTimeout: c.ResponseHeaderTimeout,
+		DisableCompression:    true,
+		WriteBufferSize:       c.BufferSize,
+		ReadBufferSize:        c.BufferSize,
+
+		MaxResponseHeaderBytes: cmp.Or(c.MaxHeaderBytes, defaultHeaderBytes),
+	})
+	return client
+}
+
+func (c *Client) setTransport(t *http.Transport) {
+	c.transport = t
+	c.http = &http.Client{
+		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return client
+}
+
+// WithoutReuse returns a client that sends each request on a connection of its own, so
+// that the first response on it can't belong to another request. Its bytes count for c.
+func (c *Client) WithoutReuse() *Client {
+	out := &Client{maxBuffered: c.maxBuffered}
+	t := c.transport.Clone()
+	t.MaxIdleConnsPerHost = -1
+	out.setTransport(t)
+	return out
 }
 
 // writeTracker determines whether anything was written to the connection that was
