origins: what a VM does not know of a server is equal to nothing (report of lagging VMs)

Callers could get a stream joined from two software versions, from a VM that was out of step during a release.

Cause: an unknown version was recorded and matched like a version; a server that started again under its name was taken for its former incarnation, whose name it accepts; the version of a stream was what the VM that began it believed.

Fix: servers carry their incarnation; before a stream or a text goes on at an engine, the engine confirms it; origins are looked up in the history of incarnations; a pool starts afresh for another incarnation.

--- a/lagoonlink/internal/fleet/fleet.go
+++ b/lagoonlink/internal/fleet/fleet.go
@@ -255,7 +255,7 @@
 	slots := map[rollout.ServiceName]int{}
 	for _, s := range f.registry.Servers() {
 		byService[s.Service] = append(byService[s.Service], rollout.Server{
-			Name: s.Name, Zone: s.Zone, Address: s.Address, ChecksFence: f.config.ChecksFence, Leaving: s.Leaving, Software: s.Software,
+			Name: s.Name, Zone: s.Zone, Address: s.Address, ChecksFence: f.config.ChecksFence, Leaving: s.Leaving, Software: s.Software, Incarnation: s.Incarnation,
 		})
 		slots[s.Service] = max(slots[s.Service], s.Slots)
 	}
@@ -355,6 +355,13 @@
 	return out
 }
 
+// SoftwareAt implements rollout.ServerHistory.
+func (f *Fleet) SoftwareAt(o rollout.StreamOrigin) (rollout.SoftwareVersion, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.registry.SoftwareAt(o)
+}
+
 // Watch returns a channel that receives a value after each change of routes,
 // servers or published versions.
 func (f *Fleet) Watch() <-chan struct{} {
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/fleet"
+	"lagoonlink.org/lagoonlink/internal/incarnation"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/jobs"
 	"lagoonlink.org/lagoonlink/internal/origins"
@@ -165,16 +166,19 @@
 		VM: c.VM, Groups: c.Groups, Group: runnerGroup, Topics: []string{job.TopicIndex}, Lease: time.Duration(leaseMultiple * float64(c.MinMembershipLease)),
 		Candidate: candidacy.Candidate{Capacity: c.Capacity, Partitions: c.Partitions}, Logger: c.Logger,
 	})
+	incarnations := incarnation.New(incarnation.Config{Control: c.Control, Logger: c.Logger})
 	g.manager = jobs.New(jobs.Config{
 		VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, Journal: c.Journal, Engine: c.Engine, Scorer: c.Scorer,
-		Dispatch: g.dispatch, Fleet: g.fleet, InForce: inForce, Owner: g.owner, Logger: c.Logger, Metrics: c.Metrics,
+		Dispatch: g.dispatch, Fleet: g.fleet, Incarnations: incarnations, InForce: inForce, Owner: g.owner, Logger: c.Logger, Metrics: c.Metrics,
 	})
 	g.swaps = swaps.New(swaps.Config{
 		Holder: rollout.VMName(string(c.VM) + "@" + c.Address), Journal: c.Journal, Control: c.Control, Fleet: g.fleet, IssuesOrders: g.manager.IssuesOrders, SwapPolicy: g.manager.SwapPolicy, ChecksFence: c.ChecksFence,
 		Lease: c.OrderLease, Logger: c.Logger,
 	})
-	g.origins = origins.New(origins.Config{Journal: c.Journal, Logger: c.Logger})
-	requests := relay.New(relay.Config{InForce: inForce, Dispatch: g.dispatch, Forwarder: c.Forwarder, Origins: g.origins, Logger: c.Logger, Metrics: c.Metrics})
+	g.origins = origins.New(origins.Config{Journal: c.Journal, Servers: g.fleet, Logger: c.Logger})
+	requests := relay.New(relay.Config{
+		InForce: inForce, Dispatch: g.dispatch, Forwarder: c.Forwarder, Origins: g.origins, Incarnations: incarnations, Logger: c.Logger, Metrics: c.Metrics,
+	})
 	g.listener = c.NewListener(requests, g.manager, g.ready)
 	return g
 }
--- a/lagoonlink/internal/gateway/software_test.go
+++ b/lagoonlink/internal/gateway/software_test.go
@@ -54,3 +54,33 @@
 	d.readComplete(t, "n", s)
 	assert.True(t, "some runs continued a text", d.checkSoftware(t, s, software) > 0)
 }
+
+// TestTextsAreContinuedByTheKnownIncarnation guards against texts that go on at a server
+// which started again with other software, at a VM that knows only its former incarnation.
+func TestTextsAreContinuedByTheKnownIncarnation(t *testing.T) {
+	d := deploy(t, 12, 2*time.Millisecond)
+	for n := range servers {
+		name := rollout.ServerName(fmt.Sprint("s", n))
+		d.servers.Put(rollout.Change[rollout.RegisteredServer]{Key: string(name), Value: rollout.RegisteredServer{
+			Name: name, Service: "pool", Address: d.address, Slots: 4, Software: "v1", Incarnation: 1,
+			Versions: map[rollout.ModelName]rollout.WeightVersion{model: 1},
+		}})
+		d.engines.SetIncarnation(name, 1)
+	}
+	d.engines.SetIncarnation("s1", 2)
+	d.engines.SetFailure("s0", rollout.Fail(rollout.MayHaveRun, rollout.ReasonTruncated, errors.New("connection lost")))
+	d.start("a")
+	s := newJob("known", 60, 1)
+	d.submit(t, "a", s)
+	d.readComplete(t, "a", s)
+	continued := 0
+	for _, sample := range s.Samples {
+		for _, r := range d.engines.History(sample.ID) {
+			if r.After > 0 {
+				continued++
+				assert.True(t, "server of a continued text is not s1", r.Server != "s1")
+			}
+		}
+	}
+	assert.True(t, "some runs continued a text", continued > 0)
+}
--- a/lagoonlink/internal/jobs/manager.go
+++ b/lagoonlink/internal/jobs/manager.go
@@ -15,6 +15,7 @@
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/fleet"
+	"lagoonlink.org/lagoonlink/internal/incarnation"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/ownership"
 	"lagoonlink.org/lagoonlink/internal/pause"
@@ -60,10 +61,12 @@
 	Scorer      rollout.SampleScorer
 	Dispatch    *dispatch.Dispatcher
 	Fleet       *fleet.Fleet
-	InForce     *inforce.Holder
-	Owner       *ownership.Owner
-	Logger      *event.Logger
-	Metrics     tally.Scope
+	// Incarnations confirms the servers that continue texts. It may be nil.
+	Incarnations *incarnation.Checker
+	InForce      *inforce.Holder
+	Owner        *ownership.Owner
+	Logger       *event.Logger
+	Metrics      tally.Scope
 }
 
 // partition holds the folded state of one index partition.
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -140,15 +140,20 @@
 		t.constrain()
 		grant := t.faster
 		t.faster = nil
+		if grant != nil && !t.confirm(ctx, grant) {
+			continue
+		}
 		if grant == nil {
 			grant = t.acquire(ctx, ticket)
 		}
 		if grant == nil {
 			continue
 		}
+		startedAt := time.Now()
 		if outcome, done = t.attempt(ctx, grant); done {
 			return outcome, true
 		}
+		t.checkOrigin(grant.Server, startedAt)
 	}
 	if t.faster != nil {
 		t.faster.Done(dispatch.Result{})
@@ -181,9 +186,41 @@
 		grant.Done(dispatch.Result{})
 		return nil
 	}
+	if !t.confirm(ctx, grant) {
+		return nil
+	}
 	return grant
 }
 
+// confirm reports whether the granted server may continue the text so far. If it doesn't
+// confirm its incarnation, the grant is released and the next run avoids the server.
+func (t *sampleRun) confirm(ctx context.Context, grant *dispatch.Grant) bool {
+	incarnations := t.runner.manager.config.Incarnations
+	if t.progress.Pieces() == 0 || incarnations == nil {
+		return true
+	}
+	if incarnations.Confirm(ctx, grant.Server, t.sample.ID) == nil {
+		return true
+	}
+	grant.Done(dispatch.Result{})
+	t.avoid = []rollout.ServerName{grant.Server.Name}
+	pause.For(ctx, requeueDelay)
+	return false
+}
+
+// checkOrigin drops the text so far if it isn't known any more that servers of one software
+// version generated it: the last run may have been at another incarnation of its server
+// than this VM knew then.
+func (t *sampleRun) checkOrigin(s rollout.Server, startedAt time.Time) {
+	if t.progress.Pieces() == 0 {
+		return
+	}
+	software, known := t.runner.manager.config.Fleet.SoftwareAt(rollout.StreamOrigin{Server: s.Name, Incarnation: s.Incarnation, Software: s.Software, BeganAt: startedAt})
+	if !known || software != s.Software {
+		t.progress.Discard()
+	}
+}
+
 // notPlaced relaxes what the sample requires of its server: first it allows the server that
 // failed last; if no server has the software version that the text so far needs, it drops
 // the text.
--- a/lagoonlink/internal/origins/origins.go
+++ b/lagoonlink/internal/origins/origins.go
@@ -37,6 +37,9 @@
 // Config configures a Registry.
 type Config struct {
 	Journal rollout.Journal
+	// Servers corrects what the VMs that passed streams on knew of the servers. If it is
+	// nil, the recorded versions count.
+	Servers rollout.ServerHistory
 	Logger  *event.Logger
 }
 
@@ -60,12 +63,13 @@
 	return &Registry{config: c, began: make(chan origin.Stream, queueSize), table: origin.NewTable(), reading: make(chan struct{}, 1)}
 }
 
-// Began records that a server of a software version sent the first event of the stream
-// of a request. It doesn't block: the journal gets the record a moment later.
-func (r *Registry) Began(request string, software rollout.SoftwareVersion) {
-	s := origin.Stream{Request: request, Software: software}
+// Began records that a server sent the first event of the stream of a request. It
+// doesn't block: the journal gets the record a moment later.
+func (r *Registry) Began(request string, server rollout.Server) {
+	now := time.Now()
+	s := origin.Stream{Request: request, Software: server.Software, Server: server.Name, Incarnation: server.Incarnation, BeganAt: now}
 	r.mu.Lock()
-	r.table.Add(time.Now(), s)
+	r.table.Add(now, s)
 	r.mu.Unlock()
 	select {
 	case r.began <- s:
@@ -94,8 +98,15 @@
 
 func (r *Registry) known(request string) (rollout.SoftwareVersion, bool) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.table.Find(request)
+	s, ok := r.table.Stream(request)
+	r.mu.Unlock()
+	if !ok {
+		return "", false
+	}
+	if r.config.Servers == nil {
+		return s.Software, s.Software != ""
+	}
+	return r.config.Servers.SoftwareAt(s.Origin())
 }
 
 // Follow reads the journal until the context ends.
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/incarnation"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/metrics"
 	"lagoonlink.org/lagoonlink/internal/pause"
@@ -52,8 +53,10 @@
 	Dispatch  *dispatch.Dispatcher
 	Forwarder rollout.Forwarder
 	Origins   rollout.StreamOrigins
-	Logger    *event.Logger
-	Metrics   tally.Scope
+	// Incarnations confirms the servers that continue streams.
+	Incarnations *incarnation.Checker
+	Logger       *event.Logger
+	Metrics      tally.Scope
 }
 
 // Relay forwards callers' requests to backend servers.
@@ -224,7 +227,7 @@
 func (s *servedRequest) attempt(ctx context.Context, grant *dispatch.Grant) (rollout.ForwardedResponse, error) {
 	attemptCtx, cancel := s.withAttemptTimeout(ctx)
 	start := time.Now()
-	response, err := s.relay.config.Forwarder.Forward(attemptCtx, grant.Server, s.request)
+	response, err := s.forward(attemptCtx, grant)
 	result := dispatch.Result{}
 	verdict := rollout.VerdictOf(err)
 	switch {
@@ -242,7 +245,7 @@
 	}
 	if response.Stream != nil {
 		if !s.request.Resumed {
-			s.relay.config.Origins.Began(s.request.ID, grant.Server.Software)
+			s.relay.config.Origins.Began(s.request.ID, grant.Server)
 		}
 		s.logStream(grant, start)
 		response.Stream = &grantedStream{ResponseStream: response.Stream, onClose: func() { cancel(); grant.Done(result) }}
@@ -253,10 +256,21 @@
 	return response, err
 }
 
+// forward sends the request to the granted server. A request that continues a stream is
+// only sent to a server of a pool that confirms its incarnation.
+func (s *servedRequest) forward(ctx context.Context, grant *dispatch.Grant) (rollout.ForwardedResponse, error) {
+	if s.software != nil && grant.Target().Pool != "" && s.relay.config.Incarnations != nil {
+		if err := s.relay.config.Incarnations.Confirm(ctx, grant.Server, s.request.ID); err != nil {
+			return rollout.ForwardedResponse{}, err
+		}
+	}
+	return s.relay.config.Forwarder.Forward(ctx, grant.Server, s.request)
+}
+
 // logStream logs the start of a stream whose attempt was sent at the given time.
 func (s *servedRequest) logStream(grant *dispatch.Grant, sent time.Time) {
 	s.relay.config.Logger.Write(event.StreamStarted, event.Fields{
-		"Request": s.request.ID, "Route": s.route.Name, "Server": grant.Server.Name, "Software": grant.Server.Software, "Resumed": s.request.Resumed, "Resumes": s.request.Resumes,
+		"Request": s.request.ID, "Route": s.route.Name, "Server": grant.Server.Name, "Software": grant.Server.Software, "Incarnation": grant.Server.Incarnation, "Resumed": s.request.Resumed, "Resumes": s.request.Resumes,
 		"Waited": sent.Sub(s.start).Seconds(), "Took": time.Since(sent).Seconds(), "Refusals": s.refusals,
 	})
 }
--- a/lagoonlink/internal/relay/resume_test.go
+++ b/lagoonlink/internal/relay/resume_test.go
@@ -14,6 +14,7 @@
 
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/incarnation"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/origins"
 	"lagoonlink.org/lagoonlink/internal/relay"
@@ -26,9 +27,28 @@
 
 // streamForwarder answers each request with a stream and returns the software version of
 // the server in the body.
-type streamForwarder struct{}
+type streamForwarder struct {
+	mu sync.Mutex
+	// sent counts the requests of each server.
+	sent map[rollout.ServerName]int
+}
+
+func (f *streamForwarder) reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent = map[rollout.ServerName]int{}
+}
 
-func (streamForwarder) Forward(_ context.Context, server rollout.Server, _ rollout.ForwardedRequest) (rollout.ForwardedResponse, error) {
+func (f *streamForwarder) count(s rollout.ServerName) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent[s]
+}
+
+func (f *streamForwarder) Forward(_ context.Context, server rollout.Server, _ rollout.ForwardedRequest) (rollout.ForwardedResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[server.Name]++
 	return rollout.ForwardedResponse{Status: 200, Stream: io.NopCloser(strings.NewReader(string(server.Software)))}, nil
 }
 
@@ -36,10 +56,12 @@
 
 // streamVM is one VM in front of servers that answer with streams.
 type streamVM struct {
-	relay    *relay.Relay
-	dispatch *dispatch.Dispatcher
-	inForce  *inforce.Holder
-	stop     func()
+	relay     *relay.Relay
+	dispatch  *dispatch.Dispatcher
+	inForce   *inforce.Holder
+	forwarder *streamForwarder
+	control   *incarnations
+	stop      func()
 }
 
 // startStreamVM starts a VM in front of servers of the given software versions, two of
@@ -49,7 +71,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	logger := event.NewLogger(log)
-	v := &streamVM{inForce: &inforce.Holder{}}
+	v := &streamVM{inForce: &inforce.Holder{}, forwarder: &streamForwarder{sent: map[rollout.ServerName]int{}}, control: &incarnations{}}
 	v.setServers(1, versions...)
 	d := dispatch.New(dispatch.Config{
 		QueueSize: 64, Limits: fair.Limits{Items: 64, TenantItems: 64}, InForce: v.inForce, Logger: logger,
@@ -70,7 +92,10 @@
 	for d.Views(ctx) == nil {
 		time.Sleep(time.Millisecond)
 	}
-	v.relay = relay.New(relay.Config{InForce: v.inForce, Dispatch: d, Forwarder: streamForwarder{}, Origins: registry, Logger: logger, Metrics: tally.NoopScope})
+	v.relay = relay.New(relay.Config{
+		InForce: v.inForce, Dispatch: d, Forwarder: v.forwarder, Origins: registry, Logger: logger, Metrics: tally.NoopScope,
+		Incarnations: incarnation.New(incarnation.Config{Control: v.control, Logger: logger}),
+	})
 	return v
 }
 
@@ -78,7 +103,7 @@
 	pool := rollout.Pool{Name: "s", Models: []rollout.ModelName{"m"}, MaxConcurrency: 4}
 	for _, s := range software {
 		for n := range 2 {
-			pool.Servers = append(pool.Servers, rollout.Server{Name: rollout.ServerName(fmt.Sprint(s, n)), Address: "127.0.0.1:1", Software: s})
+			pool.Servers = append(pool.Servers, rollout.Server{Name: rollout.ServerName(fmt.Sprint(s, n)), Address: "127.0.0.1:1", Software: s, Incarnation: 1})
 		}
 	}
 	v.inForce.Set(&inforce.View{Version: version, Configuration: rollout.Configuration{Pools: []rollout.Pool{pool}}, Routes: routing.New(rollout.RouteTable{Routes: []rollout.Route{streamRoute}})})
--- a/lagoonlink/internal/standin/engine.go
+++ b/lagoonlink/internal/standin/engine.go
@@ -30,6 +30,8 @@
 	failures   map[rollout.ServerName]error
 	model      rollout.ModelName
 	limits     rollout.LimitReceiver
+	// incarnations holds the incarnations that engines report.
+	incarnations map[rollout.ServerName]int64
 }
 
 // NewEngines returns engines that have loaded version 1 of a model.
@@ -38,7 +40,7 @@
 		PieceDelay: pieceDelay, Pieces: pieces, model: model,
 		versions: map[rollout.ServerName]map[rollout.ModelName]rollout.WeightVersion{},
 		accepted: map[rollout.ServerName]uint64{}, fences: map[rollout.ServerName]uint64{},
-		runs: map[string][]Run{}, ended: map[string]time.Time{}, failures: map[rollout.ServerName]error{},
+		incarnations: map[rollout.ServerName]int64{}, runs: map[string][]Run{}, ended: map[string]time.Time{}, failures: map[rollout.ServerName]error{},
 	}
 }
 
@@ -50,6 +52,13 @@
 	e.failures[s] = err
 }
 
+// SetIncarnation sets the incarnation that an engine reports.
+func (e *Engines) SetIncarnation(s rollout.ServerName, incarnation int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.incarnations[s] = incarnation
+}
+
 // Runs returns how often a sample was started.
 func (e *Engines) Runs(sample string) int {
 	e.mu.Lock()
@@ -174,7 +183,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return rollout.EngineState{
-		Accepted: e.accepted[s.Name],
+		Accepted: e.accepted[s.Name], Incarnation: e.incarnations[s.Name],
 		Versions: map[rollout.ModelName]rollout.WeightVersion{e.model: max(1, e.versions[s.Name][e.model])},
 	}, nil
 }
--- a/rollout/configuration.go
+++ b/rollout/configuration.go
@@ -61,6 +61,9 @@
 	// Software is the version of the server's software. Only servers of one version can
 	// continue each other's streams.
 	Software SoftwareVersion `yaml:"Software,omitempty"`
+	// Incarnation is when the server started, in Unix milliseconds by its own clock, or 0
+	// if it isn't known. It can't be declared.
+	Incarnation int64 `yaml:"-"`
 }
 
 // Service is a plain service, one that does not run models.
--- a/rollout/job/progress.go
+++ b/rollout/job/progress.go
@@ -69,7 +69,8 @@
 // StartRun records that a server of a software version runs the sample next. It returns
 // false if that server must not continue the text.
 func (p *Progress) StartRun(software rollout.SoftwareVersion) bool {
-	if p.pieces > 0 && p.software != software {
+	// A version that isn't known is equal to none.
+	if p.pieces > 0 && (software == "" || p.software != software) {
 		return false
 	}
 	p.software = software
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -203,14 +203,30 @@
 
 // StreamOrigins knows which software version began a stream.
 type StreamOrigins interface {
-	// Began records that a server of a software version sent the first event of the
-	// stream of a request.
-	Began(request string, software SoftwareVersion)
+	// Began records that a server sent the first event of the stream of a request.
+	Began(request string, s Server)
 	// Find returns the software version that began the stream of a request. It fails
 	// with the verdict NotRun if that can't be determined.
 	Find(ctx context.Context, request string) (SoftwareVersion, error)
 }
 
+// StreamOrigin is the server that began a stream, as the VM knew it that passed the first
+// event on.
+type StreamOrigin struct {
+	Server      ServerName
+	Incarnation int64
+	Software    SoftwareVersion
+	// BeganAt is when the stream began, by the VM's wall clock.
+	BeganAt time.Time
+}
+
+// ServerHistory knows the recent incarnations of servers.
+type ServerHistory interface {
+	// SoftwareAt returns the software version of the server that began a stream, or false
+	// if it isn't known.
+	SoftwareAt(o StreamOrigin) (SoftwareVersion, bool)
+}
+
 // EngineState is the state that a model engine reports on request.
 type EngineState struct {
 	// Busy reports whether the engine is executing an order.
@@ -219,6 +235,8 @@
 	Accepted uint64
 	// Versions holds the loaded weight version of each model.
 	Versions map[ModelName]WeightVersion
+	// Incarnation is when the engine started, as in RegisteredServer.
+	Incarnation int64
 }
 
 // SwapMode selects how an engine treats running requests when it swaps weights.
--- a/rollout/origin/table.go
+++ b/rollout/origin/table.go
@@ -32,12 +32,21 @@
 	maxStreams = 1 << 17
 )
 
-// Stream is the origin of a stream: the software version of the server that sent its
-// first event.
+// Stream is the origin of a stream: the server that sent its first event.
 type Stream struct {
 	// Request is the caller's ID of the request that began the stream.
 	Request  string
 	Software rollout.SoftwareVersion
+	// Server, Incarnation and BeganAt are those of rollout.StreamOrigin. Records of
+	// earlier releases lack them.
+	Server      rollout.ServerName `cbor:",omitempty"`
+	Incarnation int64              `cbor:",omitempty"`
+	BeganAt     time.Time
+}
+
+// Origin returns the origin in the form in which its software version is determined.
+func (s Stream) Origin() rollout.StreamOrigin {
+	return rollout.StreamOrigin{Server: s.Server, Incarnation: s.Incarnation, Software: s.Software, BeganAt: s.BeganAt}
 }
 
 // Record is one record of the topic.
@@ -74,7 +83,7 @@
 
 // Table holds the origins of recent streams. It is not safe for concurrent use.
 type Table struct {
-	software map[string]rollout.SoftwareVersion
+	streams map[string]Stream
 	// order holds the streams in the order in which they were added.
 	order []dated
 }
@@ -85,17 +94,17 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{software: map[string]rollout.SoftwareVersion{}} }
+func NewTable() *Table { return &Table{streams: map[string]Stream{}} }
 
 // Add adds a stream. The first origin of a stream counts.
 func (t *Table) Add(now time.Time, s Stream) {
-	if _, known := t.software[s.Request]; known {
+	if _, known := t.streams[s.Request]; known {
 		return
 	}
-	t.software[s.Request] = s.Software
+	t.streams[s.Request] = s
 	t.order = append(t.order, dated{request: s.Request, at: now})
 	for len(t.order) > maxStreams || now.Sub(t.order[0].at) >= maxAge {
-		delete(t.software, t.order[0].request)
+		delete(t.streams, t.order[0].request)
 		t.order = t.order[1:]
 	}
 }
@@ -110,11 +119,17 @@
 	}
 }
 
-// Find returns the software version that began the stream of a request.
+// Find returns the software version that began the stream of a request, as it was recorded.
 func (t *Table) Find(request string) (rollout.SoftwareVersion, bool) {
-	v, ok := t.software[request]
-	return v, ok
+	s, ok := t.streams[request]
+	return s.Software, ok
+}
+
+// Stream returns the origin of the stream of a request.
+func (t *Table) Stream(request string) (Stream, bool) {
+	s, ok := t.streams[request]
+	return s, ok
 }
 
 // Len returns the number of streams.
-func (t *Table) Len() int { return len(t.software) }
+func (t *Table) Len() int { return len(t.streams) }
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -103,7 +103,8 @@
 func New(c Config) *Pool { return &Pool{config: c} }
 
 // Configure applies the configuration and the servers of the pool. A server that
-// was already declared with the same address keeps its state.
+// was already declared with the same address and incarnation keeps its state; another
+// incarnation keeps only the requests in flight, which end in any case.
 func (p *Pool) Configure(c Config, declared []rollout.Server) {
 	p.config = c
 	known := map[rollout.ServerName]*server{}
@@ -112,10 +113,14 @@
 	}
 	p.servers = p.servers[:0:0]
 	for _, d := range declared {
-		s := known[d.Name]
-		if s == nil || s.declared.Address != d.Address {
+		old := known[d.Name]
+		s := old
+		if old == nil || old.declared.Address != d.Address || old.declared.Incarnation != d.Incarnation {
 			s = &server{limit: float64(c.initialLimit()), prefixes: map[uint64]time.Time{}, baselineUnitTime: map[rollout.Class]float64{}}
 		}
+		if old != nil {
+			s.inFlight = old.inFlight
+		}
 		s.declared = d
 		s.limit = min(s.limit, float64(c.MaxConcurrency))
 		p.servers = append(p.servers, s)
@@ -169,7 +174,8 @@
 
 // suits reports whether a server may ever take a request, regardless of its load.
 func (s *server) suits(now time.Time, r Requirements) bool {
-	if r.Software != nil && *r.Software != s.declared.Software {
+	// A version that isn't known is equal to none.
+	if r.Software != nil && (*r.Software == "" || *r.Software != s.declared.Software) {
 		return false
 	}
 	return !s.isLeaving(now) && !slices.Contains(r.Avoid, s.declared.Name)
--- a/rollout/registry/registry.go
+++ b/rollout/registry/registry.go
@@ -29,6 +29,8 @@
 	// last outage ended.
 	outage     bool
 	restoredAt time.Time
+	// history holds the recent incarnations of each name, oldest first.
+	history map[rollout.ServerName][]past
 }
 
 // New returns an empty registry.
@@ -36,6 +38,7 @@
 	return &Registry{
 		servers: map[rollout.ServerName]rollout.RegisteredServer{},
 		lapsed:  map[rollout.ServerName]rollout.RegisteredServer{},
+		history: map[rollout.ServerName][]past{},
 	}
 }
 
@@ -60,6 +63,9 @@
 	for _, c := range changes {
 		name := rollout.ServerName(c.Key)
 		if c.Err == nil && !c.Deleted {
+			if old, known := r.Find(name); known && old.Incarnation != c.Value.Incarnation {
+				r.remember(now, old)
+			}
 			r.servers[name] = c.Value
 			delete(r.lapsed, name)
 			continue
@@ -78,6 +84,7 @@
 		return
 	}
 	delete(r.servers, name)
+	r.remember(now, s)
 	if !unreadable && !s.Leaving && r.outageRecent(now) {
 		r.lapsed[name] = s
 	}
@@ -103,6 +110,7 @@
 // Expire removes the lapsed servers that did not register again in time and
 // reports whether there were any.
 func (r *Registry) Expire(now time.Time) bool {
+	r.forget(now)
 	if len(r.lapsed) == 0 || r.outageRecent(now) {
 		return false
 	}
--- a/rollout/routes.go
+++ b/rollout/routes.go
@@ -103,7 +103,8 @@
 	Slots int
 	// Leaving reports whether the server is draining and must get no new requests.
 	Leaving bool
-	// Incarnation changes every time the server starts.
+	// Incarnation is when the server started, in Unix milliseconds by its own clock, or 0
+	// if it doesn't say.
 	Incarnation int64
 	// Versions holds the loaded weight version of each model of a model engine.
 	Versions map[ModelName]WeightVersion
