--- a/Makefile
+++ b/Makefile
@@ -54,4 +54,6 @@
 fuzz:
 	cd rollout && for t in configuration:FuzzDecode configuration:FuzzDecodeRecord wire:FuzzProbe wire:FuzzFrame engine:FuzzEvents quota:FuzzLedger origin:FuzzDecode; do \
 		go test ./$${t%%:*} -run '^$$' -fuzz "^$${t##*:}\$$" -fuzztime 20s || exit 1; done
+	cd platform && for t in store:FuzzServerEntry store:FuzzServerEntryText store:FuzzConfigurationFigures; do \
+		go test ./$${t%%:*} -run '^$$' -fuzz "^$${t##*:}\$$" -fuzztime 20s || exit 1; done
 	cd lagoonlink && go test ./internal/settings -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 20s
--- a/lagoonlink/internal/dispatch/resolve.go
+++ b/lagoonlink/internal/dispatch/resolve.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -59,12 +60,7 @@
 		d.config.Logger.Write(event.QueuedMoved, event.Fields{"Version": d.appliedView.Version, "Moved": len(moved), "Refused": refused})
 	}
 	// The order of arrival is kept.
-	slices.SortFunc(moved, func(a, b enqueueMessage) int {
-		if a.id < b.id {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(moved, func(a, b enqueueMessage) int { return cmp.Compare(a.id, b.id) })
 	for _, m := range moved {
 		d.enqueue(now, m)
 	}
--- a/lagoonlink/internal/fleet/fleet.go
+++ b/lagoonlink/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -30,6 +31,8 @@
 	// defaultSlots is the assumed concurrency of servers that do not report how
 	// many requests they run at once.
 	defaultSlots = 8
+	// maxSlots is the largest number of slots of one server that is believed.
+	maxSlots = 1024
 	// serviceQueueFactor multiplies the slots of a plain service's server to give
 	// the number of requests that one VM may have there at once. The excess
 	// requests queue at the server, so that a server that is nearly full does not
@@ -252,29 +255,56 @@
 // pool or a plain service. The caller must hold f.mu.
 func (f *Fleet) configuration() rollout.Configuration {
 	byService := map[rollout.ServiceName][]rollout.Server{}
-	slots := map[rollout.ServiceName]int{}
 	for _, s := range f.registry.Servers() {
+		service, declared := f.table.Services()[s.Service]
+		if !declared {
+			continue
+		}
 		byService[s.Service] = append(byService[s.Service], rollout.Server{
 			Name: s.Name, Zone: s.Zone, Address: s.Address, ChecksFence: f.config.ChecksFence, Leaving: s.Leaving, Software: s.Software, Incarnation: s.Incarnation,
+			MaxConcurrency: concurrency(service, s.Slots),
 		})
-		slots[s.Service] = max(slots[s.Service], s.Slots)
 	}
 	var c rollout.Configuration
 	for _, name := range slices.Sorted(maps.Keys(f.table.Services())) {
-		s := f.table.Services()[name]
-		maxConcurrency := max(slots[name], s.Slots)
-		if maxConcurrency == 0 {
-			maxConcurrency = defaultSlots
-		}
+		s, servers := f.table.Services()[name], byService[name]
+		most := typicalConcurrency(servers, concurrency(s, 0))
 		if len(s.Models) > 0 {
-			c.Pools = append(c.Pools, rollout.Pool{Name: rollout.PoolName(name), Models: s.Models, Servers: byService[name], MaxConcurrency: maxConcurrency})
+			c.Pools = append(c.Pools, rollout.Pool{Name: rollout.PoolName(name), Models: s.Models, Servers: servers, MaxConcurrency: most})
 			continue
 		}
-		c.Services = append(c.Services, rollout.Service{Name: name, Servers: byService[name], Idempotent: true, MaxConcurrency: serviceQueueFactor * maxConcurrency})
+		c.Services = append(c.Services, rollout.Service{Name: name, Servers: servers, Idempotent: true, MaxConcurrency: most})
 	}
 	return c
 }
 
+// concurrency returns the number of requests that this VM may have at once at a server of
+// a service with the given number of slots, 0 if it states none.
+func concurrency(s rollout.RoutedService, slots int) int {
+	if slots <= 0 {
+		slots = cmp.Or(max(0, s.Slots), defaultSlots)
+	}
+	slots = min(slots, maxSlots)
+	if len(s.Models) > 0 {
+		return slots
+	}
+	return serviceQueueFactor * slots
+}
+
+// typicalConcurrency returns the lower median of the servers' concurrency, which no single
+// server decides, or the given one if there are no servers.
+func typicalConcurrency(servers []rollout.Server, declared int) int {
+	if len(servers) == 0 {
+		return declared
+	}
+	var all []int
+	for _, s := range servers {
+		all = append(all, s.MaxConcurrency)
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
+
 // reportAllVersions reports the versions that all engines serve to the dispatcher.
 // The caller must hold f.mu.
 func (f *Fleet) reportAllVersions() {
--- a/rollout/configuration.go
+++ b/rollout/configuration.go
@@ -64,6 +64,9 @@
 	// Incarnation is when the server started, in Unix milliseconds by its own clock, or 0
 	// if it isn't known. It can't be declared.
 	Incarnation int64 `yaml:"-"`
+	// MaxConcurrency is the maximum number of requests that one VM keeps in flight at the
+	// server; 0 means that of its pool or service. It can't be declared.
+	MaxConcurrency int `yaml:"-"`
 }
 
 // Service is a plain service, one that does not run models.
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -43,10 +43,12 @@
 	// Zone is the availability zone of this VM, whose servers are preferred for
 	// other classes than rollouts.
 	Zone rollout.Zone
-	// MaxConcurrency is the maximum of each server's concurrency limit.
+	// MaxConcurrency is the maximum of the concurrency limit of a server that has none of
+	// its own.
 	MaxConcurrency int
-	// Reserve is how many requests of a server's limit are not available to
-	// rollouts and scoring requests.
+	// Reserve is how many requests of such a server's limit are not available to
+	// rollouts and scoring requests. A server with another maximum reserves the same
+	// share of it.
 	Reserve int
 	// InitialLimit is the initial concurrency limit of a new server; 0 means 8.
 	InitialLimit int
@@ -122,11 +124,25 @@
 			s.inFlight = old.inFlight
 		}
 		s.declared = d
-		s.limit = min(s.limit, float64(c.MaxConcurrency))
+		s.limit = min(s.limit, float64(s.maxLimit(c)))
 		p.servers = append(p.servers, s)
 	}
 }
 
+// maxLimit returns the maximum of the server's concurrency limit.
+func (s *server) maxLimit(c Config) int {
+	return cmp.Or(s.declared.MaxConcurrency, c.MaxConcurrency)
+}
+
+// reserve returns how many requests of the server's limit are not available to rollouts
+// and scoring requests.
+func (s *server) reserve(c Config) float64 {
+	if c.MaxConcurrency <= 0 {
+		return float64(c.Reserve)
+	}
+	return float64(c.Reserve) * float64(s.maxLimit(c)) / float64(c.MaxConcurrency)
+}
+
 func (c Config) initialLimit() int {
 	if c.InitialLimit > 0 {
 		return c.InitialLimit
@@ -219,7 +235,7 @@
 // get another one of the given class.
 func (p *Pool) classLimit(s *server, c rollout.Class) float64 {
 	if c == rollout.ClassRollout || c == rollout.ClassScoring {
-		return max(1, s.limit-float64(p.config.Reserve))
+		return max(1, s.limit-s.reserve(p.config))
 	}
 	return s.limit
 }
@@ -391,7 +407,7 @@
 		s.decreaseLimit(now)
 	default:
 		s.failures, s.ejections = 0, 0
-		s.adaptLimit(now, o, p.config.MaxConcurrency)
+		s.adaptLimit(now, o, s.maxLimit(p.config))
 	}
 }
 
--- a/rollout/registry/history.go
+++ b/rollout/registry/history.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -37,7 +38,7 @@
 		return p.incarnation == s.Incarnation || now.Sub(p.lastKnown) >= historyAge
 	})
 	list = append(list, past{incarnation: s.Incarnation, software: s.Software, lastKnown: now})
-	slices.SortFunc(list, func(a, b past) int { return int(min(1, max(-1, a.incarnation-b.incarnation))) })
+	slices.SortFunc(list, func(a, b past) int { return cmp.Compare(a.incarnation, b.incarnation) })
 	r.history[s.Name] = list[max(0, len(list)-maxHistory):]
 }
 
