registry: a server that states in a response that it is leaving gets no new requests (Server-Leaving)

A VM learnt that a server leaves from the store alone. Cut off from it, a VM went on sending requests to servers that say in each answer that they leave.

Any response that belongs to its call counts: streams, refusals, failures, samples, scores, states, orders. The registry keeps it for the incarnation; the store's slower word doesn't withdraw it, another incarnation starts without it. The fleet puts it in force at once, so queued requests go elsewhere or are refused at once; a gate refuses, right before they are sent, the requests for which the server had been chosen.

--- a/lagoonlink/internal/fleet/fleet.go
+++ b/lagoonlink/internal/fleet/fleet.go
@@ -385,6 +385,25 @@
 	return out
 }
 
+// ObserveLeaving implements rollout.LeavingReceiver. The server gets no new requests from
+// this VM from then on, whatever the store says of it.
+func (f *Fleet) ObserveLeaving(o rollout.ObservedLeaving) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.registry.ObserveLeaving(time.Now(), o.Server, o.Incarnation) {
+		return
+	}
+	f.config.Logger.Write(event.ServerLeaving, event.Fields{"Server": o.Server, "Incarnation": o.Incarnation, "Request": o.Request, "Source": o.Source})
+	f.publish()
+}
+
+// IsLeaving reports whether an incarnation of a server stated that it is leaving.
+func (f *Fleet) IsLeaving(s rollout.Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.registry.IsLeaving(s.Name, s.Incarnation)
+}
+
 // SoftwareAt implements rollout.ServerHistory.
 func (f *Fleet) SoftwareAt(o rollout.StreamOrigin) (rollout.SoftwareVersion, bool) {
 	f.mu.Lock()
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"github.com/uber-go/tally/v4"
 
+	"lagoonlink.org/lagoonlink/internal/departure"
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/fleet"
@@ -111,6 +112,8 @@
 	Control   rollout.EngineControl
 	// Limits reports the request rate limits that servers state in their responses.
 	Limits rollout.LimitSource
+	// Departures reports the servers that state in their responses that they are leaving.
+	Departures rollout.LeavingSource
 	// NewListener returns the server for callers, trainers and readiness checks.
 	NewListener func(requests *relay.Relay, manager *jobs.Manager, ready func() bool) Listener
 	// Terminate and Hangup deliver the signals to stop and to read the settings again.
@@ -162,13 +165,15 @@
 	g.quotas = quotas.New(quotas.Config{VM: c.VM, Journal: c.Journal, Permits: g.dispatch, Logger: c.Logger})
 	c.Limits.NotifyLimits(g.quotas)
 	g.fleet = fleet.New(fleet.Config{Operator: c.Operator, Servers: c.Servers, InForce: inForce, Dispatch: g.dispatch, ChecksFence: c.ChecksFence, Logger: c.Logger})
+	c.Departures.NotifyLeaving(g.fleet)
+	gate := departure.New(departure.Config{Servers: g.fleet, Forwarder: c.Forwarder, Engine: c.Engine, Scorer: c.Scorer})
 	g.owner = ownership.New(ownership.Config{
 		VM: c.VM, Groups: c.Groups, Group: runnerGroup, Topics: []string{job.TopicIndex}, Lease: time.Duration(leaseMultiple * float64(c.MinMembershipLease)),
 		Candidate: candidacy.Candidate{Capacity: c.Capacity, Partitions: c.Partitions}, Logger: c.Logger,
 	})
 	incarnations := incarnation.New(incarnation.Config{Control: c.Control, Logger: c.Logger})
 	g.manager = jobs.New(jobs.Config{
-		VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, Journal: c.Journal, Engine: c.Engine, Scorer: c.Scorer,
+		VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, Journal: c.Journal, Engine: gate, Scorer: gate,
 		Dispatch: g.dispatch, Fleet: g.fleet, Incarnations: incarnations, InForce: inForce, Owner: g.owner, Logger: c.Logger, Metrics: c.Metrics,
 	})
 	g.swaps = swaps.New(swaps.Config{
@@ -177,7 +182,7 @@
 	})
 	g.origins = origins.New(origins.Config{Journal: c.Journal, Servers: g.fleet, Logger: c.Logger})
 	requests := relay.New(relay.Config{
-		InForce: inForce, Dispatch: g.dispatch, Forwarder: c.Forwarder, Origins: g.origins, Incarnations: incarnations, Logger: c.Logger, Metrics: c.Metrics,
+		InForce: inForce, Dispatch: g.dispatch, Forwarder: gate, Origins: g.origins, Incarnations: incarnations, Logger: c.Logger, Metrics: c.Metrics,
 	})
 	g.listener = c.NewListener(requests, g.manager, g.ready)
 	return g
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -14,6 +14,7 @@
 	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/job"
+	"lagoonlink.org/rollout/placement"
 	"lagoonlink.org/rollout/routing"
 )
 
@@ -397,8 +398,9 @@
 	case ctx.Err() != nil, errors.Is(err, errStaleWeights), errors.Is(err, errSlowServer):
 		grant.Done(result)
 	case f.Verdict == rollout.NotRun:
-		result.Refused = f.Reason == rollout.ReasonServerRefused
-		result.Failed = !result.Refused
+		refusal := placement.RefusalOutcome(f)
+		refusal.SecondsPerUnit, refusal.Pace = result.SecondsPerUnit, result.Pace
+		result.Outcome = refusal
 		grant.Done(result)
 	default:
 		result.Failed, result.ConnectionLost = true, f.Verdict == rollout.MayHaveRun && !errors.Is(err, errPieceTimeout)
--- a/lagoonlink/internal/jobs/score.go
+++ b/lagoonlink/internal/jobs/score.go
@@ -213,9 +213,12 @@
 	if ctx.Err() != nil || f.Verdict == rollout.Ran {
 		return dispatch.Result{}
 	}
-	refused := f.Verdict == rollout.NotRun && f.Reason == rollout.ReasonServerRefused
+	outcome := placement.Outcome{Failed: true}
+	if f.Verdict == rollout.NotRun {
+		outcome = placement.RefusalOutcome(f)
+	}
 	return dispatch.Result{
-		Outcome:        placement.Outcome{Refused: refused, Failed: !refused},
+		Outcome:        outcome,
 		ConnectionLost: f.Verdict == rollout.MayHaveRun && f.Reason != rollout.ReasonDeadline,
 	}
 }
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -236,8 +236,8 @@
 		result.SecondsPerUnit = time.Since(start).Seconds()
 		result.Failed = response.Status >= 500
 	case verdict == rollout.NotRun:
-		result.Refused = rollout.FailureOf(err).Reason == rollout.ReasonServerRefused
-		result.Failed = !result.Refused && ctx.Err() == nil
+		result.Outcome = placement.RefusalOutcome(rollout.FailureOf(err))
+		result.Failed = result.Failed && ctx.Err() == nil
 	default:
 		s.attemptsRun++
 		result.Failed = ctx.Err() == nil
--- a/lagoonlink/internal/standin/engine.go
+++ b/lagoonlink/internal/standin/engine.go
@@ -30,6 +30,7 @@
 	failures   map[rollout.ServerName]error
 	model      rollout.ModelName
 	limits     rollout.LimitReceiver
+	leaving    rollout.LeavingReceiver
 	// incarnations holds the incarnations that engines report.
 	incarnations map[rollout.ServerName]int64
 }
@@ -111,6 +112,7 @@
 	_ rollout.SampleEngine  = (*Engines)(nil)
 	_ rollout.EngineControl = (*Engines)(nil)
 	_ rollout.LimitSource   = (*Engines)(nil)
+	_ rollout.LeavingSource = (*Engines)(nil)
 )
 
 // NotifyLimits implements rollout.LimitSource.
@@ -120,6 +122,21 @@
 	e.limits = r
 }
 
+// NotifyLeaving implements rollout.LeavingSource.
+func (e *Engines) NotifyLeaving(r rollout.LeavingReceiver) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = r
+}
+
+// StateLeaving plays a response in which an engine states that it is leaving.
+func (e *Engines) StateLeaving(s rollout.ServerName, incarnation int64) {
+	e.mu.Lock()
+	receiver := e.leaving
+	e.mu.Unlock()
+	receiver.ObserveLeaving(rollout.ObservedLeaving{Server: s, Incarnation: incarnation, Request: "test", Source: "Request"})
+}
+
 // Output returns the complete output of a sample.
 func (e *Engines) Output(sample string) string {
 	output := ""
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -191,6 +191,28 @@
 	NotifyLimits(r LimitReceiver)
 }
 
+// ObservedLeaving is a response in which a server states that it is leaving.
+type ObservedLeaving struct {
+	Server      ServerName
+	Incarnation int64
+	// Request is the ID of the request that the response belongs to; it is empty for a
+	// control call. Source names the kind of call.
+	Request string
+	Source  string
+}
+
+// LeavingReceiver receives the servers that state in responses that they are leaving. Its
+// method is called before the response is passed on and must not wait for other tasks.
+type LeavingReceiver interface {
+	ObserveLeaving(o ObservedLeaving)
+}
+
+// LeavingSource reports the servers that state in responses that they are leaving.
+type LeavingSource interface {
+	// NotifyLeaving sets the receiver. It must be called before requests are sent.
+	NotifyLeaving(r LeavingReceiver)
+}
+
 // PermitReceiver receives the request rate limits of servers and the permits to send
 // requests to them.
 type PermitReceiver interface {
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -384,6 +384,18 @@
 	Pace float64
 }
 
+// RefusalOutcome returns the outcome of a request that its server did not run.
+func RefusalOutcome(f *rollout.Failure) Outcome {
+	switch f.Reason {
+	case rollout.ReasonServerRefused:
+		return Outcome{Refused: true}
+	case rollout.ReasonDraining:
+		return Outcome{Leaving: true}
+	default:
+		return Outcome{Failed: true}
+	}
+}
+
 // leavingHold is how long a server that rejected a request because it is leaving
 // gets no requests, so that a list or a load report has time to confirm it.
 const leavingHold = 30 * time.Second
--- a/rollout/registry/registry.go
+++ b/rollout/registry/registry.go
@@ -31,6 +31,8 @@
 	restoredAt time.Time
 	// history holds the recent incarnations of each name, oldest first.
 	history map[rollout.ServerName][]past
+	// leaving holds the servers that stated in responses that they are leaving.
+	leaving map[rollout.ServerName]leaving
 }
 
 // New returns an empty registry.
@@ -39,6 +41,7 @@
 		servers: map[rollout.ServerName]rollout.RegisteredServer{},
 		lapsed:  map[rollout.ServerName]rollout.RegisteredServer{},
 		history: map[rollout.ServerName][]past{},
+		leaving: map[rollout.ServerName]leaving{},
 	}
 }
 
@@ -111,6 +114,7 @@
 // reports whether there were any.
 func (r *Registry) Expire(now time.Time) bool {
 	r.forget(now)
+	r.forgetLeaving(now)
 	if len(r.lapsed) == 0 || r.outageRecent(now) {
 		return false
 	}
@@ -120,21 +124,21 @@
 
 // Find returns the server with the given name, also if it is lapsed or leaving.
 func (r *Registry) Find(name rollout.ServerName) (rollout.RegisteredServer, bool) {
-	if s, ok := r.servers[name]; ok {
-		return s, true
+	s, ok := r.servers[name]
+	if !ok {
+		s, ok = r.lapsed[name]
 	}
-	s, ok := r.lapsed[name]
-	return s, ok
+	return r.withLeaving(s), ok
 }
 
 // Servers returns all servers, including lapsed and leaving ones, sorted by name.
 func (r *Registry) Servers() []rollout.RegisteredServer {
 	var out []rollout.RegisteredServer
 	for _, s := range r.servers {
-		out = append(out, s)
+		out = append(out, r.withLeaving(s))
 	}
 	for _, s := range r.lapsed {
-		out = append(out, s)
+		out = append(out, r.withLeaving(s))
 	}
 	slices.SortFunc(out, func(a, b rollout.RegisteredServer) int {
 		switch {
