jobs: read on after records were trimmed (review/2)

Callers got 404 for accepted jobs from VMs that had started on a store older than its retention, at the first question for a partition.

Cause: after a trim the first offset left was taken for the end of the partition, so nothing was read.

Fix: a read reports whether it came to the end; a trim does not.

--- a/lagoonlink/internal/jobs/manager.go
+++ b/lagoonlink/internal/jobs/manager.go
@@ -216,24 +216,25 @@
 	return false
 }
 
-// readOnce reads records once and applies them. It returns the end offset of the
-// partition or, if the next records were trimmed, the first offset left.
-func (m *Manager) readOnce(ctx context.Context, p *partition, wait time.Duration) (rollout.Offset, error) {
+// readOnce reads records once and applies them. It reports whether it has read to the end
+// that the partition had then. If the next records were trimmed, it skips them, and what
+// follows them is still to be read.
+func (m *Manager) readOnce(ctx context.Context, p *partition, wait time.Duration) (atEnd bool, err error) {
 	from := p.nextOffset()
 	r, err := m.config.Journal.Read(ctx, p.id, from, maxReadBytes, wait)
 	var trimmed *rollout.TrimmedError
-	if errors.As(err, &trimmed) {
+	if errors.As(err, &trimmed) && trimmed.First > from {
 		m.config.Logger.Write(event.JournalTrimmed, event.Fields{"Partition": p.id, "From": from, "First": trimmed.First})
 		p.mu.Lock()
 		p.fold.SkipTo(trimmed.First)
 		p.mu.Unlock()
-		return trimmed.First, nil
+		return false, nil
 	}
 	if err != nil {
-		return 0, err
+		return false, err
 	}
 	m.apply(p, r)
-	return r.Next, nil
+	return p.nextOffset() >= r.Next, nil
 }
 
 // apply applies records to the fold and passes the resulting events to the runner.
@@ -267,13 +268,9 @@
 // catchUp reads a partition to its current end.
 func (m *Manager) catchUp(ctx context.Context, p *partition) error {
 	for {
-		end, err := m.readOnce(ctx, p, 0)
-		if err != nil {
+		if atEnd, err := m.readOnce(ctx, p, 0); err != nil || atEnd {
 			return err
 		}
-		if p.nextOffset() >= end {
-			return nil
-		}
 	}
 }
 
--- a/lagoonlink/internal/standin/journal.go
+++ b/lagoonlink/internal/standin/journal.go
@@ -18,6 +18,8 @@
 type Store struct {
 	mu      sync.Mutex
 	records map[rollout.Partition][][]byte
+	// first holds the offset of the oldest record that each partition keeps.
+	first map[rollout.Partition]rollout.Offset
 	// changed is closed and replaced when records are added.
 	changed chan struct{}
 	// down holds the VMs that can't reach the store.
@@ -37,11 +39,18 @@
 // NewStore returns an empty store whose topics have the given number of partitions.
 func NewStore(partitions int) *Store {
 	return &Store{
-		records: map[rollout.Partition][][]byte{}, changed: make(chan struct{}),
+		records: map[rollout.Partition][][]byte{}, first: map[rollout.Partition]rollout.Offset{}, changed: make(chan struct{}),
 		down: map[rollout.VMName]bool{}, expelled: map[rollout.VMName]bool{}, lostReplies: map[string]int{}, reads: map[rollout.VMName]map[string]int{}, partitions: partitions,
 	}
 }
 
+// Trim expires all records that a partition holds.
+func (s *Store) Trim(p rollout.Partition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first[p] = rollout.Offset(len(s.records[p]))
+}
+
 // SetDown disconnects a VM from the store if down is true, and reconnects it
 // otherwise.
 func (s *Store) SetDown(vm rollout.VMName, down bool) {
@@ -177,9 +186,12 @@
 			s.mu.Unlock()
 			return rollout.ReadResult{}, err
 		}
-		all, changed := s.records[p], s.changed
+		all, first, changed := s.records[p], s.first[p], s.changed
 		s.mu.Unlock()
-		r := rollout.ReadResult{Next: rollout.Offset(len(all))}
+		if from < first {
+			return rollout.ReadResult{}, &rollout.TrimmedError{First: first}
+		}
+		r := rollout.ReadResult{First: first, Next: rollout.Offset(len(all))}
 		for at := from; at < r.Next && (maxBytes > 0 || len(r.Records) == 0); at++ {
 			r.Records = append(r.Records, rollout.Record{Offset: at, Data: all[at]})
 			maxBytes -= len(all[at])
