--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/url"
 	"time"
 
@@ -248,7 +249,7 @@
 			s.relay.config.Origins.Began(s.request.ID, grant.Server)
 		}
 		s.logStream(grant, start)
-		response.Stream = &grantedStream{ResponseStream: response.Stream, onClose: func() { cancel(); grant.Done(result) }}
+		response.Stream = &grantedStream{ResponseStream: response.Stream, ctx: attemptCtx, cancel: cancel, grant: grant, result: result}
 		return response, nil
 	}
 	cancel()
@@ -292,13 +293,28 @@
 // when it is closed.
 type grantedStream struct {
 	rollout.ResponseStream
-	onClose func()
+	// ctx ends when the caller leaves or the request's deadline passes.
+	ctx    context.Context
+	cancel context.CancelFunc
+	grant  *dispatch.Grant
+	result dispatch.Result
+}
+
+// Read reads from the stream. A stream that breaks off counts against its server as a lost
+// connection does before the first byte.
+func (g *grantedStream) Read(data []byte) (int, error) {
+	n, err := g.ResponseStream.Read(data)
+	if err != nil && !errors.Is(err, io.EOF) && g.ctx.Err() == nil {
+		g.result.Failed, g.result.ConnectionLost = true, true
+	}
+	return n, err
 }
 
 // Close closes the stream and returns the grant.
 func (g *grantedStream) Close() error {
 	err := g.ResponseStream.Close()
-	g.onClose()
+	g.cancel()
+	g.grant.Done(g.result)
 	return err
 }
 
