--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -34,6 +34,10 @@
 	StartLimit func(maxConcurrency int) int
 	// Reachable reports whether the server at the address accepts connections.
 	Reachable func(address string) bool
+	// Refuses reports whether the machine at the address refuses connections, so that it
+	// runs but the server's process has ended. It is only called for a server that is not
+	// reachable, and may be nil.
+	Refuses func(address string) bool
 	// Book asks for permits to send a number of requests to a server with a request rate
 	// limit, urgent ones before others; AddPermits must be called with the answer. It must not block, and reports
 	// whether an answer will follow. It may be nil if no server has a limit.
@@ -104,8 +108,10 @@
 // the server has crashed, so that the crash is recorded before the request is
 // retried or its caller gets an answer.
 func (g *Grant) Done(r Result) {
-	crashed := r.ConnectionLost && !g.dispatcher.config.Reachable(g.Server.Address)
-	g.dispatcher.send(doneMessage{target: g.target, id: g.id, result: r, crashed: crashed})
+	c := g.dispatcher.config
+	crashed := r.ConnectionLost && !c.Reachable(g.Server.Address)
+	ended := crashed && c.Refuses != nil && c.Refuses(g.Server.Address)
+	g.dispatcher.send(doneMessage{target: g.target, id: g.id, result: r, crashed: crashed, ended: ended})
 }
 
 // Target returns the target to which the server belongs.
@@ -133,8 +139,9 @@
 		target Target
 		id     uint64
 		result Result
-		// crashed reports whether the server has stopped accepting connections.
-		crashed bool
+		// crashed reports whether the server has stopped accepting connections, ended
+		// whether its process is known to have ended.
+		crashed, ended bool
 	}
 	versionMessage struct {
 		target  Target
@@ -550,7 +557,7 @@
 	}
 	f := ts.inFlight[m.id]
 	if m.crashed && !f.crashAttributed {
-		d.attributeCrash(now, ts, f.server)
+		d.attributeCrash(now, ts, f.server, m.ended)
 	}
 	delete(ts.inFlight, m.id)
 	if !m.result.Failed && !m.result.Refused && !f.crashAttributed && d.suspects.Standing(now, f.req.Fingerprint) != request.Clear {
--- a/lagoonlink/internal/dispatch/suspicions.go
+++ b/lagoonlink/internal/dispatch/suspicions.go
@@ -50,7 +50,7 @@
 
 // attributeCrash attributes a crash to all requests in flight on the server. They
 // all fail within a short time; only the first failure counts as a crash.
-func (d *Dispatcher) attributeCrash(now time.Time, ts *targetState, server rollout.ServerName) {
+func (d *Dispatcher) attributeCrash(now time.Time, ts *targetState, server rollout.ServerName, ended bool) {
 	var inFlight []request.InFlightRequest
 	for _, f := range ts.inFlight {
 		if f.server == server && !f.crashAttributed {
@@ -58,9 +58,13 @@
 			inFlight = append(inFlight, request.InFlightRequest{Fingerprint: f.req.Fingerprint, Isolated: f.suspected})
 		}
 	}
-	suspected, withdrawn := d.suspects.Crashed(now, server, inFlight)
+	record := d.suspects.Crashed
+	if ended {
+		record = d.suspects.Ended
+	}
+	suspected, withdrawn := record(now, server, inFlight)
 	if suspected > 0 {
-		d.config.Logger.Write(event.RequestSuspected, event.Fields{"Server": server, "Fingerprints": suspected})
+		d.config.Logger.Write(event.RequestSuspected, event.Fields{"Server": server, "Fingerprints": suspected, "Ended": ended})
 	}
 	if withdrawn > 0 {
 		d.config.Logger.Write(event.SuspicionWithdrawn, event.Fields{"Server": server, "Fingerprints": withdrawn})
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -154,7 +154,7 @@
 	inForce := &inforce.Holder{}
 	g.dispatch = dispatch.New(dispatch.Config{
 		Zone: c.Zone, QueueSize: dispatchQueueSize, Limits: fair.Limits{Items: maxQueued, TenantItems: maxQueued}, Policy: placement.PolicyLocality,
-		InForce: inForce, Logger: c.Logger, Reachable: httpclient.Reachable, Announce: func() { g.suspicions.Announce() },
+		InForce: inForce, Logger: c.Logger, Reachable: httpclient.Reachable, Refuses: httpclient.Refuses, Announce: func() { g.suspicions.Announce() },
 		// Servers register their own concurrency limit, so it is used from the start.
 		StartLimit: func(most int) int { return most },
 		Book: func(s rollout.ServerName, requests int, urgent bool) bool {
--- a/lagoonlink/internal/vm/vm.go
+++ b/lagoonlink/internal/vm/vm.go
@@ -149,8 +149,8 @@
 		Policy:    placementPolicies[s.Bench.Placement],
 		InForce:   v.inForce,
 		Logger:    v.logger,
-		Reachable: httpclient.Reachable,
-		Announce:  func() { v.node.Announce() },
+		Reachable: httpclient.Reachable, Refuses: httpclient.Refuses,
+		Announce: func() { v.node.Announce() },
 	}
 }
 
--- a/rollout/httpclient/httpclient.go
+++ b/rollout/httpclient/httpclient.go
@@ -25,6 +25,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"lagoonlink.org/rollout"
@@ -382,3 +383,18 @@
 	}
 	return true
 }
+
+// refusesTimeout is the timeout of the connection attempt of Refuses.
+const refusesTimeout = 100 * time.Millisecond
+
+// Refuses reports whether the machine at the address refuses connections: it answers, but
+// no process listens there. A machine that is cut off or has no power doesn't answer.
+func Refuses(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, refusesTimeout)
+	if err == nil {
+		// Nothing was sent on the connection, so an error of Close loses no data.
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/rollout/request/request_test.go
+++ b/rollout/request/request_test.go
@@ -135,6 +135,27 @@
 		assert.Equal(t, "standing on another VM after the withdrawal", other.Standing(start.Add(time.Second), 1), request.Clear)
 		assert.True(t, "an echo of the conviction is ignored", !other.Merge(start.Add(2*time.Second), request.SharedSuspicion{Fingerprint: 1, Crashes: 2, Convicted: true}))
 	})
+	t.Run("servers whose processes ended at once don't clear the request that ended them", func(t *testing.T) {
+		s := request.NewSuspects()
+		s.Ended(start, "a1", inFlight(false, 1, 2))
+		for n, server := range []rollout.ServerName{"a2", "a3", "a4"} {
+			s.Ended(start.Add(time.Duration(n)*time.Millisecond), server, inFlight(false, request.Fingerprint(10+n)))
+		}
+		assert.Equal(t, "standing", s.Standing(start, 1), request.Suspected)
+		s.Ended(start.Add(time.Second), "a5", inFlight(true, 1))
+		assert.Equal(t, "standing after another server", s.Standing(start.Add(time.Second), 1), request.Convicted)
+	})
+	t.Run("ended processes are no evidence of a cut", func(t *testing.T) {
+		s := request.NewSuspects()
+		s.Crashed(start, "a1", inFlight(false, 1))
+		s.Ended(start, "a2", inFlight(false, 3))
+		s.Ended(start, "a3", inFlight(false, 4))
+		assert.Equal(t, "standing beside ended processes", s.Standing(start, 1), request.Suspected)
+		s.Crashed(start, "a4", inFlight(false, 5))
+		s.Crashed(start, "a5", inFlight(false, 6))
+		assert.Equal(t, "standing beside servers that are silent", s.Standing(start, 1), request.Clear)
+		assert.Equal(t, "standing of a request whose server's process ended", s.Standing(start, 3), request.Suspected)
+	})
 	t.Run("a withdrawal does not count against a VM's own evidence", func(t *testing.T) {
 		s := request.NewSuspects()
 		s.Crashed(start, "d1", inFlight(false, 1))
--- a/rollout/request/suspects.go
+++ b/rollout/request/suspects.go
@@ -56,7 +56,10 @@
 
 // loss is the loss of one server with the fingerprints of the requests in flight there.
 type loss struct {
-	at           time.Time
+	at time.Time
+	// ended reports whether the server's process is known to have ended; otherwise the
+	// server may have been cut off.
+	ended        bool
 	server       rollout.ServerName
 	fingerprints map[Fingerprint]bool
 }
@@ -71,6 +74,8 @@
 // servers are lost at the same time without the request in flight, and the suspicion is
 // withdrawn. That happens once in a suspicionDuration for each fingerprint, so that
 // several requests that crash servers at the same time don't clear one another for ever.
+// Servers whose processes are known to have ended take no part in it: they may all have
+// run the same request, which came at several VMs.
 type Suspects struct {
 	entries map[Fingerprint]suspicion
 	// losses are the losses of the last cutWindow.
@@ -113,12 +118,22 @@
 	Isolated bool
 }
 
-// Crashed records that a server crashed while the given requests were in flight,
+// Crashed records that a server was lost while the given requests were in flight,
 // and returns the number of their fingerprints and that of the suspicions that it
 // withdrew, which may be older. Several requests with one fingerprint count as one.
 // Only isolated requests are convicted, because the others may have been in flight
 // by coincidence.
 func (s *Suspects) Crashed(now time.Time, server rollout.ServerName, inFlight []InFlightRequest) (suspected, withdrawn int) {
+	return s.lost(now, server, false, inFlight)
+}
+
+// Ended records like Crashed that a server was lost, but one whose process is known to have
+// ended: a cut is no explanation.
+func (s *Suspects) Ended(now time.Time, server rollout.ServerName, inFlight []InFlightRequest) (suspected, withdrawn int) {
+	return s.lost(now, server, true, inFlight)
+}
+
+func (s *Suspects) lost(now time.Time, server rollout.ServerName, ended bool, inFlight []InFlightRequest) (suspected, withdrawn int) {
 	s.removeExpired(now)
 	isolated := map[Fingerprint]bool{}
 	var fingerprints []Fingerprint
@@ -128,7 +143,7 @@
 		}
 		isolated[f.Fingerprint] = isolated[f.Fingerprint] || f.Isolated
 	}
-	l := loss{at: now, server: server, fingerprints: map[Fingerprint]bool{}}
+	l := loss{at: now, ended: ended, server: server, fingerprints: map[Fingerprint]bool{}}
 	for _, f := range fingerprints {
 		s.recordCrash(now, f, isolated[f])
 		l.fingerprints[f] = true
@@ -142,7 +157,9 @@
 func (s *Suspects) withdrawUnfounded(now time.Time) (withdrawn int) {
 	recent := map[Fingerprint]bool{}
 	for _, l := range s.losses {
-		maps.Copy(recent, l.fingerprints)
+		if !l.ended {
+			maps.Copy(recent, l.fingerprints)
+		}
 	}
 	for f := range recent {
 		if at, done := s.withdrawn[f]; done && now.Sub(at) >= cutWindow {
@@ -153,7 +170,7 @@
 		}
 		e := s.entries[f]
 		for _, l := range s.losses {
-			if l.fingerprints[f] {
+			if l.fingerprints[f] && !l.ended {
 				e.crashes--
 				e.own--
 				delete(l.fingerprints, f)
@@ -178,6 +195,9 @@
 func (s *Suspects) serversLostWithout(f Fingerprint) int {
 	with, without := map[rollout.ServerName]bool{}, map[rollout.ServerName]bool{}
 	for _, l := range s.losses {
+		if l.ended {
+			continue
+		}
 		if l.fingerprints[f] {
 			with[l.server] = true
 		} else {
