--- a/rollout/httpclient/eventstream.go
+++ b/rollout/httpclient/eventstream.go
@@ -19,10 +19,13 @@
 type EventStream struct {
 	body   io.ReadCloser
 	framed bool
-	// begun reports whether anything was received. inLine reports whether the line that
-	// is being received has begun, inEvent whether the event has. comment reports whether
-	// the line is a comment; carriageReturn whether it holds nothing but CR so far.
-	begun, inLine, inEvent, comment, carriageReturn bool
+	// begun reports whether anything was received.
+	begun bool
+	// inLine reports whether a line, inEvent whether an event has begun and not ended.
+	inLine, inEvent bool
+	// comment reports whether the line is a comment, blank whether it holds nothing but
+	// carriage returns so far.
+	comment, blank bool
 }
 
 // NewEventStream returns the stream of events in a response.
@@ -65,17 +68,17 @@
 		return
 	}
 	if !s.inLine {
-		s.inLine, s.comment, s.carriageReturn = true, part[0] == ':', true
+		s.inLine, s.comment, s.blank = true, part[0] == ':', true
 	}
-	s.carriageReturn = s.carriageReturn && len(bytes.Trim(part, "\r")) == 0
+	s.blank = s.blank && len(bytes.Trim(part, "\r")) == 0
 }
 
 func (s *EventStream) endLine() {
 	switch {
-	case !s.inLine || s.carriageReturn:
+	case !s.inLine || s.blank:
 		s.inEvent = false
 	case !s.comment:
 		s.inEvent = true
 	}
-	s.inLine, s.carriageReturn = false, false
+	s.inLine, s.blank = false, false
 }
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -202,7 +202,7 @@
 }
 
 // LeavingReceiver receives the servers that state in responses that they are leaving. Its
-// method is called before the response is passed on and must not wait for other tasks.
+// method is called before the response is passed on, and must not wait for I/O.
 type LeavingReceiver interface {
 	ObserveLeaving(o ObservedLeaving)
 }
