jobs: a text whose servers don't confirm their incarnation starts again

Trainers could miss samples for good: an interrupted sample waited until its retention ended for a server that confirms its incarnation, if the engines don't state it or always state another one.

TestTextsOfUnconfirmedServersAreComplete failed in both cases before.

Fix: a server that states none is taken for the known one; after three servers in a row that don't confirm it, the text is generated from the start.

--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -106,7 +106,7 @@
 	JournalUnreadable      = define(728, logrus.WarnLevel, "a partition can't be read; its jobs may be out of date on this VM", "Check the store.")
 	JournalReadable        = define(729, logrus.InfoLevel, "a partition can be read again", "None.")
 	JournalTrimmed         = define(730, logrus.WarnLevel, "records were trimmed from the store before this VM read them", "None if this VM has just started; otherwise look at its load and at the store's retention.")
-	SampleRestarted        = define(732, logrus.InfoLevel, "the text of a sample was dropped, because no server of the software version that began it serves; the sample is generated from the start", "None during a change of the servers' software.")
+	SampleRestarted        = define(732, logrus.InfoLevel, "the text of a sample was dropped, because no server of the software version that began it serves, or none confirms what it is; the sample is generated from the start", "None during a change of the servers' software.")
 	ScoreFailed            = define(731, logrus.InfoLevel, "an attempt to score a sample failed; unless GivenUp is set, it is repeated", "If it repeats, look at the server in Server, or at the scorer's route if there is none.")
 	RequestRefused         = define(740, logrus.InfoLevel, "a request was refused without being run", "Look at Reason.")
 	RequestServed          = define(741, logrus.DebugLevel, "a request was answered", "None.")
--- a/lagoonlink/internal/gateway/software_test.go
+++ b/lagoonlink/internal/gateway/software_test.go
@@ -84,3 +84,26 @@
 	}
 	assert.True(t, "some runs continued a text", continued > 0)
 }
+
+// TestTextsOfUnconfirmedServersAreComplete guards against samples that are never placed
+// again after their runs were interrupted, because no server confirms its incarnation.
+func TestTextsOfUnconfirmedServersAreComplete(t *testing.T) {
+	for name, reported := range map[string]int64{"the servers don't state it": 0, "the servers state another one": 2} {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, 12, 2*time.Millisecond)
+			for n := range servers {
+				name := rollout.ServerName(fmt.Sprint("s", n))
+				d.servers.Put(rollout.Change[rollout.RegisteredServer]{Key: string(name), Value: rollout.RegisteredServer{
+					Name: name, Service: "pool", Address: d.address, Slots: 4, Software: "v1", Incarnation: 1,
+					Versions: map[rollout.ModelName]rollout.WeightVersion{model: 1},
+				}})
+				d.engines.SetIncarnation(name, reported)
+			}
+			d.engines.SetFailure("s0", rollout.Fail(rollout.MayHaveRun, rollout.ReasonTruncated, errors.New("connection lost")))
+			d.start("a")
+			s := newJob("unconfirmed", 40, 1)
+			d.submit(t, "a", s)
+			d.readComplete(t, "a", s)
+		})
+	}
+}
--- a/lagoonlink/internal/incarnation/incarnation.go
+++ b/lagoonlink/internal/incarnation/incarnation.go
@@ -28,8 +28,9 @@
 func New(c Config) *Checker { return &Checker{config: c} }
 
 // Confirm asks a server whether it is the incarnation that this VM knows, before a request
-// continues there what another run began. It fails with the verdict NotRun unless the
-// server says so. A server whose incarnation isn't known can't be asked.
+// continues there what another run began. It fails with the verdict NotRun if the server
+// states another one or can't be asked. A server that states none, in its entry or in its
+// state, is taken for the one that is known.
 func (c *Checker) Confirm(ctx context.Context, s rollout.Server, request string) error {
 	if c.config.Control == nil || s.Incarnation == 0 {
 		return nil
@@ -37,7 +38,7 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	state, err := c.config.Control.State(ctx, s)
-	if err == nil && state.Incarnation == s.Incarnation {
+	if err == nil && (state.Incarnation == s.Incarnation || state.Incarnation == 0) {
 		return nil
 	}
 	c.config.Logger.Write(event.IncarnationUnconfirmed, event.Fields{
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -32,6 +32,9 @@
 	noServerDelay = 150 * time.Millisecond
 	// maxMoves limits how often a sample is moved because its server is slow.
 	maxMoves = 3
+	// maxUnconfirmed is how many servers in a row may fail to confirm their incarnation
+	// before a text is generated from the start, which any server may do.
+	maxUnconfirmed = 3
 	// minFragmentPieces is the minimum number of pieces for which the text of an
 	// interrupted run is stored.
 	minFragmentPieces = 4
@@ -200,15 +203,29 @@
 	if t.progress.Pieces() == 0 || incarnations == nil {
 		return true
 	}
-	if incarnations.Confirm(ctx, grant.Server, t.sample.ID) == nil {
+	err := incarnations.Confirm(ctx, grant.Server, t.sample.ID)
+	if err == nil {
+		t.unconfirmed = 0
 		return true
 	}
 	grant.Done(dispatch.Result{})
 	t.avoid = []rollout.ServerName{grant.Server.Name}
+	if t.unconfirmed++; t.unconfirmed >= maxUnconfirmed {
+		t.restart(err)
+	}
 	pause.For(ctx, requeueDelay)
 	return false
 }
 
+// restart drops the text so far, because no server that may continue it is to be had.
+func (t *sampleRun) restart(err error) {
+	t.runner.manager.config.Logger.Write(event.SampleRestarted, event.Fields{
+		"Job": t.run.job.ID, "Sample": t.sample.ID, "Pieces": t.progress.Pieces(), "Software": *t.progress.Software(), "Error": err,
+	})
+	t.progress.Discard()
+	t.unconfirmed = 0
+}
+
 // checkOrigin drops the text so far if it isn't known any more that servers of one software
 // version generated it: the last run may have been at another incarnation of its server
 // than this VM knew then.
@@ -228,10 +245,7 @@
 func (t *sampleRun) notPlaced(ctx context.Context, err error) {
 	f := rollout.FailureOf(err)
 	if ctx.Err() == nil && f.Reason == rollout.ReasonNoServer && len(t.avoid) == 0 && t.progress.Software() != nil {
-		t.runner.manager.config.Logger.Write(event.SampleRestarted, event.Fields{
-			"Job": t.run.job.ID, "Sample": t.sample.ID, "Pieces": t.progress.Pieces(), "Software": *t.progress.Software(), "Error": err,
-		})
-		t.progress.Discard()
+		t.restart(err)
 	}
 	t.avoid = nil
 }
@@ -354,6 +368,8 @@
 	routes *routing.Table
 	avoid  []rollout.ServerName
 	moves  int
+	// unconfirmed counts the servers in a row that did not confirm their incarnation.
+	unconfirmed int
 	// meter measures the current attempt.
 	meter job.Meter
 	// faster is a place on a faster server that the next attempt takes, or nil.
