store: heartbeats of servers are not decoded

Cause: every VM decodes the entry of every server each 1.2 s. Change: the feed of servers keeps a digest of each entry without the number of the heartbeat and passes an entry that says the same on as unchanged; the fleet drops it unless an order to that engine is pending.

--- a/lagoonlink/internal/fleet/fleet.go
+++ b/lagoonlink/internal/fleet/fleet.go
@@ -85,10 +85,10 @@
 	return feed.Run(ctx, f.config.Servers, feed.Follower[rollout.RegisteredServer]{
 		Name: "servers", Spacing: serverReadInterval, Logger: f.config.Logger,
 		Replace: func(c []rollout.Change[rollout.RegisteredServer]) {
-			f.applyRegistered(func(now time.Time) { f.registry.Replace(now, c) }, c, f.registeredNames())
+			f.applyRegistered(f.registry.Replace, c, f.registeredNames())
 		},
 		Apply: func(c []rollout.Change[rollout.RegisteredServer]) {
-			f.applyRegistered(func(now time.Time) { f.registry.Apply(now, c) }, c, map[rollout.ServerName]bool{})
+			f.applyRegistered(f.registry.Apply, c, map[rollout.ServerName]bool{})
 		},
 		Reachable:   func() { f.withLock(func() { f.registry.StoreReachable(time.Now()) }) },
 		Unreachable: func() { f.withLock(f.registry.StoreUnreachable) },
@@ -154,10 +154,11 @@
 // applyRegistered applies changes of entries in service discovery. Most of them are
 // heartbeats, which change nothing, so the work is proportional to the number of changes
 // and not to that of servers.
-func (f *Fleet) applyRegistered(apply func(time.Time), changes []rollout.Change[rollout.RegisteredServer], names map[rollout.ServerName]bool) {
+func (f *Fleet) applyRegistered(apply func(time.Time, []rollout.Change[rollout.RegisteredServer]), changes []rollout.Change[rollout.RegisteredServer], names map[rollout.ServerName]bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := map[rollout.ServerName]rollout.RegisteredServer{}
+	changes = f.withoutHeartbeats(changes)
 	for _, c := range changes {
 		names[rollout.ServerName(c.Key)] = true
 		if c.Err != nil {
@@ -169,7 +170,7 @@
 			before[name] = s
 		}
 	}
-	apply(time.Now())
+	apply(time.Now(), changes)
 	var d serverChanges
 	for name := range names {
 		after, ok := f.registry.Find(name)
@@ -189,6 +190,15 @@
 	f.publish()
 }
 
+// withoutHeartbeats returns the changes that may change anything. A heartbeat of an engine
+// with a pending order is kept, because the versions that such an engine serves depend on
+// the time. The caller must hold f.mu.
+func (f *Fleet) withoutHeartbeats(changes []rollout.Change[rollout.RegisteredServer]) []rollout.Change[rollout.RegisteredServer] {
+	return slices.DeleteFunc(changes, func(c rollout.Change[rollout.RegisteredServer]) bool {
+		return c.Unchanged && f.known.Settled(rollout.ServerName(c.Key))
+	})
+}
+
 func sameServer(a, b rollout.RegisteredServer) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Leaving == b.Leaving && a.Slots == b.Slots &&
 		a.Service == b.Service && a.Incarnation == b.Incarnation && a.Software == b.Software
--- a/lagoonlink/internal/fleet/fleet_test.go
+++ b/lagoonlink/internal/fleet/fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -13,6 +12,7 @@
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/weights"
 )
 
 // reports counts the load reports that a Fleet sends.
@@ -44,7 +44,7 @@
 		received.count = 0
 		lines.Reset()
 		before := inForce.Current()
-		f.applyRegistered(func(now time.Time) { f.registry.Apply(now, changes) }, changes, map[rollout.ServerName]bool{})
+		f.applyRegistered(f.registry.Apply, changes, map[rollout.ServerName]bool{})
 		return received.count, strings.Count(lines.String(), "\n"), inForce.Current() != before
 	}
 	var all []rollout.Change[rollout.RegisteredServer]
@@ -65,6 +65,17 @@
 		assert.Equal(t, "reports", reported, 1)
 		assert.True(t, "nothing is put in force", !published)
 	})
+	t.Run("a heartbeat that was not decoded", func(t *testing.T) {
+		reported, logged, published := apply(rollout.Change[rollout.RegisteredServer]{Key: "s0007", Unchanged: true})
+		assert.Equal(t, "reports", reported, 0)
+		assert.Equal(t, "lines", logged, 0)
+		assert.True(t, "nothing is put in force", !published)
+	})
+	t.Run("a heartbeat that was not decoded, of an engine with a pending order", func(t *testing.T) {
+		f.ApplyAnnouncement(weights.Announcement{Server: "s0009", Model: "m", Version: 3})
+		reported, _, _ := apply(rollout.Change[rollout.RegisteredServer]{Key: "s0009", Unchanged: true})
+		assert.Equal(t, "reports", reported, 1)
+	})
 	t.Run("a server that leaves", func(t *testing.T) {
 		c := heartbeat(7, 2)
 		c.Value.Leaving = true
@@ -83,7 +94,7 @@
 	})
 	t.Run("a snapshot without some servers", func(t *testing.T) {
 		snapshot := all[:500]
-		f.applyRegistered(func(now time.Time) { f.registry.Replace(now, snapshot) }, snapshot, f.registeredNames())
+		f.applyRegistered(f.registry.Replace, snapshot, f.registeredNames())
 		assert.Equal(t, "servers", len(inForce.Current().Configuration.Pools[0].Servers), 500)
 	})
 }
--- a/lagoonlink/internal/fleet/odd_test.go
+++ b/lagoonlink/internal/fleet/odd_test.go
@@ -52,7 +52,7 @@
 					}
 					changes = append(changes, rollout.Change[rollout.RegisteredServer]{Key: string(s.Name), Value: s})
 				}
-				f.applyRegistered(func(now time.Time) { f.registry.Apply(now, changes) }, changes, map[rollout.ServerName]bool{})
+				f.applyRegistered(f.registry.Apply, changes, map[rollout.ServerName]bool{})
 				target, perSlot := dispatch.Target{Service: "s"}, serviceQueueFactor
 				if models != nil {
 					target, perSlot = dispatch.Target{Pool: "s"}, 1
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -64,6 +64,9 @@
 	Deleted bool
 	// Err is the error of decoding the entry; if it is set, Value is not.
 	Err error
+	// Unchanged reports that the entry says the same as the key's former one, such as a
+	// heartbeat; if it is set, Value is not.
+	Unchanged bool
 }
 
 // Feed is a compacted topic: it retains the newest value of each key.
--- a/rollout/registry/registry.go
+++ b/rollout/registry/registry.go
@@ -64,6 +64,9 @@
 // Apply applies changes of entries in order.
 func (r *Registry) Apply(now time.Time, changes []rollout.Change[rollout.RegisteredServer]) {
 	for _, c := range changes {
+		if c.Unchanged {
+			continue
+		}
 		name := rollout.ServerName(c.Key)
 		if c.Err == nil && !c.Deleted {
 			if old, known := r.Find(name); known && old.Incarnation != c.Value.Incarnation {
--- a/rollout/weights/rotation.go
+++ b/rollout/weights/rotation.go
@@ -306,6 +306,13 @@
 	return out
 }
 
+// Settled reports whether the versions that an engine serves don't depend on the time,
+// because no order to it is pending.
+func (t *VersionTracker) Settled(s rollout.ServerName) bool {
+	e := t.engines[s]
+	return e == nil || e.pending.Model == ""
+}
+
 // Retain removes the engines for which keep returns false.
 func (t *VersionTracker) Retain(keep func(rollout.ServerName) bool) {
 	for s := range t.engines {
