jobs: read a job's data by concurrent calls under a budget, and end pages in time

Finished jobs could not be read within the caller's time while other jobs stored their texts in the same partition.

Cause: readTexts made one call after the other for each run of adjacent texts; a page of 117 texts took 1.8 s at a round trip of 15 ms, and callers leave after 1.5 s.

Change: one reader serves results, submissions, sample bodies and fragments. It makes up to 16 calls for up to 4 MiB at a time for the whole VM. A page ends after 900 ms with the results that were read, without a gap; calls are canceled when the caller leaves. Events 733 to 736 and the metrics text_read_seconds and text_read_calls show slow, failed, cut and canceled reads. golang.org/x/sync provides the semaphore.

Measured: TestAlternatingJobsAreReadInTime failed before for 2, 8 and 32 jobs (context deadline exceeded).

--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -44,8 +44,8 @@
 	serverBufferBytes = 2 << 10
 	maxIdlePerServer  = 16
 	// maxIdleToStore is the largest number of idle connections to the store: one for
-	// each reader.
-	maxIdleToStore = 32
+	// each follower, and the concurrent reads of jobs' data.
+	maxIdleToStore = 48
 	// storeBufferBytes is the size of the buffers of a connection to the store; most
 	// reads wait for records of 100 bytes each.
 	storeBufferBytes = 4 << 10
@@ -91,7 +91,7 @@
 	platformStore := store.New(storeClient, s.Store)
 	backendClient := backend.New(serverClient)
 	return gateway.New(gateway.Config{
-		VM: rollout.VMName(s.VM), Address: s.IP, Zone: rollout.Zone(s.Zone), Capacity: s.Capacity, Partitions: s.Partitions, RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
+		VM: rollout.VMName(s.VM), Address: s.IP, Zone: rollout.Zone(s.Zone), Capacity: s.Capacity, Partitions: s.Partitions, RecordBytes: s.RecordBytes, CallBytes: s.CallBytes, MemoryMB: s.MemoryMB,
 		Grace: s.Grace, OrderLease: s.OrderLease, MinMembershipLease: s.MinMembership, ChecksFence: s.FencingRequired,
 		Journal: platformStore, Groups: platformStore, Operator: store.OperatorFeed(platformStore), Servers: store.ServerFeed(platformStore),
 		Forwarder: backendClient, Engine: backendClient, Scorer: backendClient, Control: backendClient, Limits: backendClient, Departures: backendClient,
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -93,6 +93,8 @@
 	// the records of one append.
 	RecordBytes int
 	CallBytes   int
+	// MemoryMB is the memory of the VM, or 0 if it is unknown.
+	MemoryMB int
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// OrderLease is the shortest time between orders of two VMs to one engine.
@@ -173,7 +175,7 @@
 	})
 	incarnations := incarnation.New(incarnation.Config{Control: c.Control, Logger: c.Logger})
 	g.manager = jobs.New(jobs.Config{
-		VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, Journal: c.Journal, Engine: gate, Scorer: gate,
+		VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, MemoryBytes: c.MemoryMB << 20, Journal: c.Journal, Engine: gate, Scorer: gate,
 		Dispatch: g.dispatch, Fleet: g.fleet, Incarnations: incarnations, InForce: inForce, Owner: g.owner, Logger: c.Logger, Metrics: c.Metrics,
 	})
 	g.swaps = swaps.New(swaps.Config{
--- a/lagoonlink/internal/jobs/manager.go
+++ b/lagoonlink/internal/jobs/manager.go
@@ -56,6 +56,8 @@
 	// records of one append.
 	RecordBytes int
 	CallBytes   int
+	// MemoryBytes is the memory of the VM; 0 if it is unknown.
+	MemoryBytes int
 	Journal     rollout.Journal
 	Engine      rollout.SampleEngine
 	Scorer      rollout.SampleScorer
@@ -91,12 +93,13 @@
 	config     Config
 	partitions []*partition
 	writers    []*writer
+	reader     *reader
 	runner     *runner
 }
 
 // New returns a Manager. It does no work until Run is called.
 func New(c Config) *Manager {
-	m := &Manager{config: c}
+	m := &Manager{config: c, reader: newReader(c)}
 	for n := range c.Partitions {
 		m.partitions = append(m.partitions, &partition{
 			id: rollout.Partition{Topic: job.TopicIndex, Number: n}, fold: job.NewFold(),
--- a/lagoonlink/internal/jobs/requests.go
+++ b/lagoonlink/internal/jobs/requests.go
@@ -16,6 +16,9 @@
 	// maxResponseTextBytes limits the texts of one response. The platform allows 1
 	// MB including the rest of the body.
 	maxResponseTextBytes = 800 << 10
+	// pageTime limits the time for reading the texts of one response: 0.6 of the 1.5 s
+	// that callers wait longer than they ask for. The rest is for the response's way.
+	pageTime = 900 * time.Millisecond
 	// appendAttempts is the maximum number of attempts of an append while a caller
 	// waits.
 	appendAttempts   = 3
@@ -110,9 +113,11 @@
 	return job.Job{}, rollout.Refuse(rollout.ReasonStepUnknown, "job %s is unknown", id)
 }
 
-// Results returns the results that follow the first after results. If there are
-// none yet, it waits up to wait for one.
+// Results returns results that follow the first after results, without a gap. If there
+// are none yet, it waits up to wait for one. It returns those that it could read within
+// pageTime, and at least one if there is any.
 func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration) (job.Results, error) {
+	waitEnd := time.Now().Add(wait)
 	j, err := m.find(ctx, id)
 	if err != nil {
 		return job.Results{}, err
@@ -127,17 +132,37 @@
 		return out, nil
 	}
 	listed := limitTextBytes(j.Listed[after:], maxResponseTextBytes)
-	texts, err := m.readTexts(ctx, listed)
+	texts, err := m.reader.read(ctx, readRequest{
+		kind: readResults, job: id, topic: job.TopicText, locations: textLocations(listed), deadline: pageDeadline(time.Now(), waitEnd),
+	})
 	if err != nil {
 		return job.Results{}, rollout.Refuse(rollout.ReasonLogUnavailable, "%v", err).WithRetryAfter(storeRetryAfter)
 	}
-	for i, r := range listed {
-		out.Results = append(out.Results, job.ResultEntry{Sample: r.Sample, Outcome: r.Outcome, Text: texts[i], Versions: r.Versions, Score: r.Score})
+	for i, text := range texts {
+		r := listed[i]
+		out.Results = append(out.Results, job.ResultEntry{Sample: r.Sample, Outcome: r.Outcome, Text: text, Versions: r.Versions, Score: r.Score})
 	}
 	out.Next = after + len(out.Results)
 	return out, nil
 }
 
+// pageDeadline returns when a page ends whose texts are read from now on, for a caller
+// that asked to wait until waitEnd. A wait that ended late leaves less time.
+func pageDeadline(now, waitEnd time.Time) time.Time {
+	if waitEnd.Before(now) {
+		now = waitEnd
+	}
+	return now.Add(pageTime)
+}
+
+func textLocations(listed []job.Result) []job.Location {
+	out := make([]job.Location, len(listed))
+	for i, r := range listed {
+		out[i] = r.Text
+	}
+	return out
+}
+
 // limitTextBytes returns the longest prefix of listed whose texts fit into the
 // given number of bytes, but at least one result.
 func limitTextBytes(listed []job.Result, maxBytes int) []job.Result {
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -343,13 +343,13 @@
 	}
 	ctx, cancel := context.WithTimeout(t.run.ctx, fragmentReadTimeout)
 	defer cancel()
-	texts, err := m.readTexts(ctx, []job.Result{{Text: f.Text}})
+	text, err := m.reader.readOne(ctx, readRequest{kind: readFragment, job: t.run.job.ID, topic: job.TopicText}, f.Text)
 	if err != nil {
 		// The sample is generated from the start instead.
 		m.config.Logger.Write(event.JournalUnreadable, event.Fields{"Partition": f.Text.Partition, "Sample": t.sample.ID, "Error": err})
 		return
 	}
-	if !t.progress.Resume(f, texts[0]) {
+	if !t.progress.Resume(f, text) {
 		return
 	}
 	t.resumedPieces, t.checkpointed = f.Pieces, f.Pieces
--- a/lagoonlink/internal/jobs/sample_test.go
+++ b/lagoonlink/internal/jobs/sample_test.go
@@ -32,6 +32,13 @@
 // runs two samples at a time. Its dispatcher and its membership run until the test
 // ends; the manager doesn't.
 func startManager(t *testing.T) *Manager {
+	t.Helper()
+	store := standin.NewStore(1).ForVM("a")
+	return startManagerOn(t, store, store)
+}
+
+// startManagerOn is like startManager with another journal and group.
+func startManagerOn(t *testing.T, journal rollout.Journal, groups rollout.Groups) *Manager {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -48,9 +55,8 @@
 		QueueSize: 64, Limits: fair.Limits{Items: 64, TenantItems: 64}, InForce: inForce, Logger: logger,
 		Reachable: func(string) bool { return true }, Announce: func() {},
 	})
-	store := standin.NewStore(1).ForVM("a")
 	o := ownership.New(ownership.Config{
-		VM: "a", Groups: store, Group: "g", Topics: []string{job.TopicIndex}, Lease: testLease, Candidate: candidacy.Candidate{Partitions: 1}, Logger: logger,
+		VM: "a", Groups: groups, Group: "g", Topics: []string{job.TopicIndex}, Lease: testLease, Candidate: candidacy.Candidate{Partitions: 1}, Logger: logger,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -61,7 +67,7 @@
 		tasks.Wait()
 	})
 	m := New(Config{
-		Partitions: 1, Journal: store, Engine: standin.NewEngines("m", 1, 0), Owner: o,
+		Partitions: 1, Journal: journal, Engine: standin.NewEngines("m", 1, 0), Owner: o,
 		Fleet:    fleet.New(fleet.Config{InForce: inForce, Dispatch: d, Logger: logger}),
 		Dispatch: d, InForce: inForce, Logger: logger, Metrics: tally.NoopScope,
 	})
--- a/lagoonlink/internal/jobs/texts.go
+++ b/lagoonlink/internal/jobs/texts.go
@@ -1,9 +1,7 @@
 package jobs
 
 import (
-	"bytes"
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -13,65 +11,6 @@
 	"lagoonlink.org/rollout/job"
 )
 
-// readTexts reads the texts of results. Adjacent texts are read together.
-func (m *Manager) readTexts(ctx context.Context, listed []job.Result) ([][]byte, error) {
-	out := make([][]byte, len(listed))
-	for i := 0; i < len(listed); {
-		first := listed[i].Text
-		records, size, n := 0, 0, 0
-		for _, r := range listed[i:] {
-			if r.Text.Partition != first.Partition || r.Text.Offset != first.Offset+rollout.Offset(records) {
-				break
-			}
-			records += r.Text.Records
-			size += r.Text.Bytes
-			n++
-		}
-		data, err := m.readRecords(ctx, rollout.Partition{Topic: job.TopicText, Number: first.Partition}, first.Offset, records, size)
-		if err != nil {
-			return nil, err
-		}
-		for _, r := range listed[i : i+n] {
-			for _, part := range data[:r.Text.Records] {
-				out[i] = append(out[i], part...)
-			}
-			data = data[r.Text.Records:]
-			i++
-		}
-	}
-	return out, nil
-}
-
-func (m *Manager) readRecords(ctx context.Context, p rollout.Partition, from rollout.Offset, records, size int) ([][]byte, error) {
-	out := make([][]byte, 0, records)
-	for len(out) < records {
-		r, err := m.config.Journal.Read(ctx, p, from+rollout.Offset(len(out)), size+recordOverhead*records, 0)
-		if err != nil {
-			return nil, err
-		}
-		if len(r.Records) == 0 {
-			return nil, fmt.Errorf("partition %s ends at offset %d, want %d records from offset %d", p, r.Next, records, from)
-		}
-		for _, e := range r.Records {
-			size -= len(e.Data)
-			out = append(out, e.Data)
-		}
-	}
-	return out[:records], nil
-}
-
-// recordOverhead is the size of a record in addition to its data, in bytes.
-const recordOverhead = 16
-
-func (m *Manager) readSubmission(ctx context.Context, j *job.Accepted) (*job.Submission, error) {
-	at := j.Submission
-	parts, err := m.readRecords(ctx, rollout.Partition{Topic: job.TopicSubmission, Number: at.Partition}, at.Offset, at.Records, at.Bytes)
-	if err != nil {
-		return nil, err
-	}
-	return job.DecodeSubmission(bytes.Join(parts, nil), j)
-}
-
 // Queue and append settings of a writer.
 const (
 	// writeQueueSize limits the outputs that wait to be appended. A full queue
