jobs: store the texts of one append grouped by job

Cause: texts that are stored by one append lie in the order in which the samples ended, so texts of one job are apart and need more calls to be read.

Change: the writer orders a batch by job, fragments before results.

--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -300,11 +300,11 @@
 	if stored || t.progress.Pieces() < minFragmentPieces || errors.Is(context.Cause(t.run.ctx), errOwnershipLost) {
 		return
 	}
-	t.runner.manager.writers[t.run.partitionNumber].enqueue(fragmentOutput(t.sample, t.progress))
+	t.runner.manager.writers[t.run.partitionNumber].enqueue(t.fragmentOutput())
 }
 
-func fragmentOutput(s *job.Sample, p *job.Progress) sampleOutput {
-	return sampleOutput{text: slices.Clone(p.Text()), fragment: p.Fragment(s.ID, time.Now())}
+func (t *sampleRun) fragmentOutput() sampleOutput {
+	return sampleOutput{job: t.run.job.ID, text: slices.Clone(t.progress.Text()), fragment: t.progress.Fragment(t.sample.ID, time.Now())}
 }
 
 // finish logs the end of the sample and stores its result.
@@ -313,7 +313,7 @@
 	m := t.runner.manager
 	result := t.result
 	result.Outcome, result.Versions = outcome, p.Versions()
-	output := sampleOutput{text: p.Text(), result: &result, textStored: result.Text.Records > 0}
+	output := sampleOutput{job: u.job.ID, text: p.Text(), result: &result, textStored: result.Text.Records > 0}
 	if outcome != job.Done {
 		result.Text, result.Versions, result.Score = job.Location{}, nil, ""
 		output.text, output.textStored = nil, false
@@ -497,7 +497,7 @@
 		return
 	}
 	t.checkpointed = t.progress.Pieces()
-	t.runner.manager.writers[t.run.partitionNumber].tryEnqueue(fragmentOutput(t.sample, t.progress))
+	t.runner.manager.writers[t.run.partitionNumber].tryEnqueue(t.fragmentOutput())
 }
 
 func timeoutCause(ctx context.Context, err error) error {
--- a/lagoonlink/internal/jobs/score.go
+++ b/lagoonlink/internal/jobs/score.go
@@ -108,7 +108,7 @@
 		return true
 	}
 	stored := make(chan job.Location, 1)
-	output := fragmentOutput(t.sample, t.progress)
+	output := t.fragmentOutput()
 	output.stored = stored
 	t.runner.manager.writers[t.run.partitionNumber].enqueue(output)
 	select {
--- a/lagoonlink/internal/jobs/texts.go
+++ b/lagoonlink/internal/jobs/texts.go
@@ -1,7 +1,9 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +26,7 @@
 // sampleOutput is the result of a sample or a fragment of its text. Exactly one of
 // result and fragment is set.
 type sampleOutput struct {
+	job      string
 	text     []byte
 	result   *job.Result
 	fragment *job.Fragment
@@ -103,9 +106,24 @@
 		case o := <-w.queue:
 			batch, size = append(batch, o), size+len(o.text)
 		default:
-			return batch
+			return groupByJob(batch)
 		}
 	}
+	return groupByJob(batch)
+}
+
+// groupByJob makes the texts of the results of each job adjacent, so that one call reads
+// them. Fragments come first: a fragment after the result of its sample would be kept.
+func groupByJob(batch []sampleOutput) []sampleOutput {
+	slices.SortStableFunc(batch, func(a, b sampleOutput) int {
+		if a.job == b.job && (a.result == nil) != (b.result == nil) {
+			if a.result == nil {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.job, b.job)
+	})
 	return batch
 }
 
