--- a/rollout/textread/textread.go
+++ b/rollout/textread/textread.go
@@ -42,10 +42,18 @@
 
 func (s span) size() int { return s.bytes + s.records*RecordOverhead }
 
+// Limits bound the ranges that a Collection plans.
+type Limits struct {
+	// CallBytes is the largest size of a range that has more than one record.
+	CallBytes int
+	// GapBytes is the largest estimated size of a gap that is read too.
+	GapBytes int
+}
+
 // Collection is the data of locations, some of which have been read.
 type Collection struct {
 	locations []job.Location
-	maxBytes  int
+	limits    Limits
 	// parts holds the records of each location, nil if they haven't been read; missing is
 	// their number.
 	parts   [][][]byte
@@ -54,10 +62,9 @@
 	prefix int
 }
 
-// New returns a Collection of which nothing has been read. No range has more than maxBytes
-// bytes, unless it consists of one record.
-func New(locations []job.Location, maxBytes int) *Collection {
-	c := &Collection{locations: locations, maxBytes: maxBytes, parts: make([][][]byte, len(locations)), missing: make([]int, len(locations))}
+// New returns a Collection of which nothing has been read.
+func New(locations []job.Location, limits Limits) *Collection {
+	c := &Collection{locations: locations, limits: limits, parts: make([][][]byte, len(locations)), missing: make([]int, len(locations))}
 	for i, l := range locations {
 		c.parts[i], c.missing[i] = make([][]byte, max(0, l.Records)), max(0, l.Records)
 	}
@@ -95,7 +102,7 @@
 			spans = append(spans, span{index: i, partition: l.Partition, from: l.Offset, records: l.Records, bytes: l.Bytes})
 		}
 	}
-	return plan(spans, c.maxBytes)
+	return plan(spans, c.limits)
 }
 
 // Add adds the records that the read of a range returned. If it returned fewer than the
@@ -123,23 +130,22 @@
 		}
 	}
 	c.advance()
-	return plan(rest, c.maxBytes), nil
+	return plan(rest, c.limits), nil
 }
 
-// plan merges spans into ranges. The gaps that it reads too, the smallest first, have at
-// most as many bytes as the spans.
-func plan(spans []span, maxBytes int) []Range {
+// plan merges spans into ranges.
+func plan(spans []span, limits Limits) []Range {
 	var pieces []span
 	for _, s := range spans {
-		pieces = append(pieces, split(s, maxBytes)...)
+		pieces = append(pieces, split(s, limits.CallBytes)...)
 	}
 	slices.SortStableFunc(pieces, func(a, b span) int {
 		return cmp.Or(cmp.Compare(a.partition, b.partition), cmp.Compare(a.from, b.from))
 	})
-	joined, mean := joinGaps(pieces)
+	joined, mean := joinGaps(pieces, limits.GapBytes)
 	var out []Range
 	for i, s := range pieces {
-		if joined[i] && out[len(out)-1].extend(s, mean, maxBytes) {
+		if joined[i] && out[len(out)-1].extend(s, mean, limits.CallBytes) {
 			continue
 		}
 		out = append(out, Range{Partition: s.partition, From: s.from, Records: s.records, Bytes: s.size(), First: s.index, spans: []span{s}})
@@ -167,9 +173,9 @@
 }
 
 // joinGaps reports for each of the sorted pieces whether the gap before it is read too,
-// and returns the mean size of a record. The smallest gaps are read, as far as they have
-// no more records than the pieces.
-func joinGaps(pieces []span) (joined []bool, mean int) {
+// and returns the mean size of a record. The smallest gaps are read, as far as all of them
+// have no more records than the pieces and none exceeds maxGap bytes of the mean size.
+func joinGaps(pieces []span, maxGap int) (joined []bool, mean int) {
 	joined = make([]bool, len(pieces))
 	size, records := 0, 0
 	gaps := make([]int, len(pieces))
@@ -183,13 +189,14 @@
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(gaps[a], gaps[b]) })
 	budget := records
+	mean = size / max(1, records)
 	for _, i := range order {
-		if budget -= gaps[i]; budget < 0 {
+		if budget -= gaps[i]; budget < 0 || gaps[i]*mean > maxGap {
 			break
 		}
 		joined[i] = true
 	}
-	return joined, size / max(1, records)
+	return joined, mean
 }
 
 // extend adds a span unless the range gets too large.
