rollout: add tenants to route tables and requests

Callers are told apart by API keys that the configuration declares. The types come first, because other parts read them.

--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -145,6 +145,9 @@
 	// Resumes is the ID of the request that brought the first event of that stream; it
 	// is empty if the caller doesn't state it.
 	Resumes string
+	// Tenant is the name of the tenant that sent the request; it is empty if nobody's key
+	// was checked.
+	Tenant string
 }
 
 // ForwardedResponse is a backend server's response.
@@ -317,6 +320,8 @@
 	// Pieces is the number of pieces already received; the engine resumes after
 	// them.
 	Pieces int
+	// Tenant is the name of the tenant that the job belongs to, or empty.
+	Tenant string
 }
 
 // ScoreRequest asks a plain service for the score of a sample's text.
@@ -325,6 +330,8 @@
 	Host string
 	Path string
 	Body []byte
+	// Tenant is the name of the tenant that the job belongs to, or empty.
+	Tenant string
 }
 
 // SampleScorer sends scoring requests to the servers of plain services. A failure that
--- a/rollout/routes.go
+++ b/rollout/routes.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"crypto/sha256"
 	"time"
 )
 
@@ -58,6 +59,20 @@
 	// Resumable reports whether an interrupted stream may be resumed on another
 	// server.
 	Resumable bool
+	// Public reports whether requests need no API key although the table declares tenants.
+	Public bool
+}
+
+// KeyHash is the SHA-256 hash of an API key.
+type KeyHash [sha256.Size]byte
+
+// Tenant is a declared tenant: the callers and trainers that hold one of its API keys.
+type Tenant struct {
+	Name string
+	Keys []KeyHash
+	// Priority ranks the tenant's requests in place of the routes' priorities; nil means
+	// that these apply.
+	Priority *int
 }
 
 // RoutedService is a service that routes refer to.
@@ -82,6 +97,9 @@
 	Routes   []Route
 	Services []RoutedService
 	Limits   CallerLimits
+	// Tenants lists the tenants. It is nil if the table declares none, and then requests
+	// need no API key; if it is empty but not nil, no key is valid.
+	Tenants []Tenant
 }
 
 // NamedVersion is a weight version that a trainer has published.
