fair: queue by priority and tenant

With tenants, requests of a large tenant made those of all others wait, and priorities had no effect.

Each class has a level for each priority and each level shares by tenant; while several levels wait, every eighth item served is the one that has waited longest. Requests of tenants leave the queue a little before their deadline, since the item that has waited longest would otherwise reach its server too late. Without tenants there is one level, and the order is as before.

--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"lagoonlink.org/lagoonlink/internal/incarnation"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/jobs"
+	"lagoonlink.org/lagoonlink/internal/metrics"
 	"lagoonlink.org/lagoonlink/internal/origins"
 	"lagoonlink.org/lagoonlink/internal/ownership"
 	"lagoonlink.org/lagoonlink/internal/pause"
@@ -158,7 +159,7 @@
 // New returns an entry VM that is not running yet.
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, stopping: make(chan struct{})}
-	inForce := &inforce.Holder{}
+	inForce, tenantLabels := &inforce.Holder{}, metrics.NewLabels()
 	g.dispatch = dispatch.New(dispatch.Config{
 		Zone: c.Zone, QueueSize: dispatchQueueSize, Limits: fair.Limits{Items: maxQueued, TenantItems: maxQueued}, Policy: placement.PolicyLocality,
 		InForce: inForce, Logger: c.Logger, Reachable: httpclient.Reachable, Refuses: httpclient.Refuses, Announce: func() { g.suspicions.Announce() },
@@ -181,7 +182,7 @@
 	incarnations := incarnation.New(incarnation.Config{Control: c.Control, Logger: c.Logger})
 	g.manager = jobs.New(jobs.Config{
 		VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, Journal: c.Journal, Engine: gate, Scorer: gate,
-		Dispatch: g.dispatch, Fleet: g.fleet, Incarnations: incarnations, InForce: inForce, Owner: g.owner, Logger: c.Logger, Metrics: c.Metrics,
+		Dispatch: g.dispatch, Fleet: g.fleet, Incarnations: incarnations, InForce: inForce, Owner: g.owner, Logger: c.Logger, Metrics: c.Metrics, TenantLabels: tenantLabels,
 	})
 	g.swaps = swaps.New(swaps.Config{
 		Holder: rollout.VMName(string(c.VM) + "@" + c.Address), Journal: c.Journal, Control: c.Control, Fleet: g.fleet, IssuesOrders: g.manager.IssuesOrders, SwapPolicy: g.manager.SwapPolicy, ChecksFence: c.ChecksFence,
@@ -189,7 +190,8 @@
 	})
 	g.origins = origins.New(origins.Config{Journal: c.Journal, Servers: g.fleet, Logger: c.Logger})
 	requests := relay.New(relay.Config{
-		InForce: inForce, Dispatch: g.dispatch, Forwarder: gate, Origins: g.origins, Incarnations: incarnations, Revocation: c.Revocation, ConfigurationAge: g.fleet.ConfigurationAge, Logger: c.Logger, Metrics: c.Metrics,
+		InForce: inForce, Dispatch: g.dispatch, Forwarder: gate, Origins: g.origins, Incarnations: incarnations, Revocation: c.Revocation, ConfigurationAge: g.fleet.ConfigurationAge,
+		TenantLabels: tenantLabels, Logger: c.Logger, Metrics: c.Metrics,
 	})
 	g.listener = c.NewListener(requests, g.manager, g.ready)
 	return g
--- a/lagoonlink/internal/jobs/manager.go
+++ b/lagoonlink/internal/jobs/manager.go
@@ -17,6 +17,7 @@
 	"lagoonlink.org/lagoonlink/internal/fleet"
 	"lagoonlink.org/lagoonlink/internal/incarnation"
 	"lagoonlink.org/lagoonlink/internal/inforce"
+	"lagoonlink.org/lagoonlink/internal/metrics"
 	"lagoonlink.org/lagoonlink/internal/ownership"
 	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/rollout"
@@ -67,6 +68,8 @@
 	Owner        *ownership.Owner
 	Logger       *event.Logger
 	Metrics      tally.Scope
+	// TenantLabels bounds the tenants in labels of metrics. It may be nil.
+	TenantLabels *metrics.Labels
 }
 
 // partition holds the folded state of one index partition.
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -324,6 +324,9 @@
 	tagged := m.config.Metrics.Tagged(map[string]string{"model": string(u.submission.Model)})
 	tagged.Histogram("sample_seconds", metrics.LatencyBuckets).RecordDuration(time.Since(u.submission.At))
 	tagged.Counter("sample_runs").Inc(int64(len(t.servers)))
+	if u.job.Tenant != "" {
+		m.config.Metrics.Tagged(map[string]string{"tenant": m.config.TenantLabels.Value(u.job.Tenant)}).Counter("tenant_samples").Inc(1)
+	}
 	fields := event.Fields{
 		"Job": u.job.ID, "Sample": t.sample.ID, "Outcome": outcome, "Pieces": p.Pieces(), "Resumed": t.resumedPieces, "Versions": p.Versions(),
 		"Servers": t.servers, "Waited": t.queueTime.Seconds(), "Age": time.Since(u.submission.At).Seconds(), "Estimate": t.sample.Length, "NotRun": t.notRun, "Failures": p.Failures(),
--- a/lagoonlink/internal/relay/authenticate.go
+++ b/lagoonlink/internal/relay/authenticate.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"time"
+
 	"lagoonlink.org/lagoonlink/internal/event"
+	"lagoonlink.org/lagoonlink/internal/metrics"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/tenancy"
 )
@@ -35,3 +38,13 @@
 	})
 	return caller, refusal
 }
+
+// recordTenant records the metrics of a tenant's request.
+func (r *Relay) recordTenant(s *servedRequest, took time.Duration, err error) {
+	scope := r.config.Metrics.Tagged(map[string]string{"tenant": r.config.TenantLabels.Value(s.request.Tenant)})
+	if err != nil {
+		scope.Counter("tenant_requests_failed").Inc(1)
+	}
+	scope.Histogram("tenant_request_seconds", metrics.LatencyBuckets).RecordDuration(took)
+	scope.Histogram("tenant_wait_seconds", metrics.LatencyBuckets).RecordDuration(s.waited)
+}
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -62,8 +62,10 @@
 	// ConfigurationAge returns the time for which the configuration in force may have been
 	// replaced unseen. It is only called if the configuration declares tenants.
 	ConfigurationAge func() time.Duration
-	Logger           *event.Logger
-	Metrics          tally.Scope
+	// TenantLabels bounds the tenants in labels of metrics. It may be nil.
+	TenantLabels *metrics.Labels
+	Logger       *event.Logger
+	Metrics      tally.Scope
 }
 
 // Relay forwards callers' requests to backend servers.
@@ -89,6 +91,8 @@
 	attemptsRun int
 	refusals    int
 	avoid       []rollout.ServerName
+	// waited is the time for which the request waited for servers.
+	waited time.Duration
 	// verdict is NotRun until an attempt may have run, then MayHaveRun.
 	verdict rollout.Verdict
 }
@@ -178,7 +182,9 @@
 		s.software = &software
 	}
 	for {
+		queuedAt := time.Now()
 		grant, err := s.relay.config.Dispatch.Acquire(ctx, s.newRequest(ctx))
+		s.waited += time.Since(queuedAt)
 		if err != nil {
 			return rollout.ForwardedResponse{}, s.refusal(err)
 		}
@@ -224,7 +230,11 @@
 		if s.target(v).Pool != "" {
 			class = rollout.ClassInteractive
 		}
-		queue, priority = v.Tenants.Queue(s.request.Tenant, s.currentRoute(v))
+		route := s.currentRoute(v)
+		queue, priority = v.Tenants.Queue(s.request.Tenant, route)
+		if v.Tenants != nil {
+			deadline = queueDeadline(time.Now(), deadline, route.Objective)
+		}
 	}
 	return dispatch.Request{
 		Resolve:      func(v *inforce.View) (dispatch.Target, error) { return s.target(v), nil },
@@ -233,6 +243,13 @@
 	}
 }
 
+// queueDeadline returns until when a request may wait for a server. The item that has
+// waited longest goes first at times, and without a reserve it would reach the server too
+// late to be answered.
+func queueDeadline(now, deadline time.Time, objective time.Duration) time.Time {
+	return deadline.Add(-max(0, min(objective/2, deadline.Sub(now)/4)))
+}
+
 // attempt sends the request to one server and reports the outcome to the
 // dispatcher, for a streamed response when the stream is closed.
 func (s *servedRequest) attempt(ctx context.Context, grant *dispatch.Grant) (rollout.ForwardedResponse, error) {
@@ -359,10 +376,16 @@
 		scope.Counter("requests_failed").Inc(1)
 	}
 	scope.Histogram("request_seconds", metrics.LatencyBuckets).RecordDuration(duration)
+	if s.request.Tenant != "" {
+		r.recordTenant(s, duration, err)
+	}
 	fields := event.Fields{
 		"Request": s.request.ID, "Route": s.route.Name, "Service": s.sentTo, "Attempts": s.attemptsRun, "Refusals": s.refusals,
 		"Servers": s.avoid, "Took": duration.Round(time.Microsecond).String(),
 	}
+	if s.request.Tenant != "" {
+		fields["Tenant"], fields["Waited"] = s.request.Tenant, s.waited.Seconds()
+	}
 	switch {
 	case err == nil:
 		fields["Status"] = a.Status
--- a/rollout/fair/queue.go
+++ b/rollout/fair/queue.go
@@ -1,11 +1,13 @@
 // Package fair implements a bounded weighted fair queue for the requests of a
-// pool. Classes have strict priority, the most urgent first. Within a class,
+// pool. Classes have strict priority, the most urgent first. Within a class, items of
+// a higher priority go first, but while several priorities wait, one item in ageInterval
+// is the one that has waited longest. Within a priority,
 // tenants share the capacity in proportion to their weights, measured in tokens,
 // and the share of an idle tenant goes to the others. An item whose deadline has
 // passed is refused.
 //
-// The order of the tenants of a class is start-time fair queueing: each item gets
-// the larger of the class's virtual time and its tenant's last finish tag as its
+// The order of the tenants of a priority is start-time fair queueing: each item gets
+// the larger of the priority's virtual time and its tenant's last finish tag as its
 // start tag, and the tenant with the lowest start tag is next. Within a tenant the
 // item with the lowest rank is next, then the oldest; it takes the lowest start tag
 // of its tenant, whatever its own was.
@@ -84,21 +86,44 @@
 	return e
 }
 
-// tenantQueue holds the items of one tenant in one class.
+// ageInterval is how often an item is chosen by its age: one in so many of a class, so that
+// low priorities get a share when higher ones take all there is.
+const ageInterval = 8
+
+// tenantQueue holds the items of one tenant in one level.
 type tenantQueue struct {
 	entries rankHeap
 	// startTags holds as many tags as there are entries, in ascending order.
 	startTags []float64
 }
 
-type classQueue struct {
+// level holds the items of one priority of a class.
+type level struct {
+	priority int
 	// byTenant holds the items of each tenant that has any.
 	byTenant    map[string]*tenantQueue
-	size        int
 	virtualTime float64
 	finishTags  map[string]float64
 }
 
+type classQueue struct {
+	// levels is sorted by priority, the highest first. Empty ones are dropped, except that
+	// of priority 0, which keeps the shares that tenants have used.
+	levels []*level
+	size   int
+	// sinceAged counts the items served since one was chosen by its age.
+	sinceAged int
+}
+
+// level returns the level of a priority, which is added if it doesn't exist.
+func (c *classQueue) level(priority int) *level {
+	i, found := slices.BinarySearchFunc(c.levels, priority, func(l *level, p int) int { return cmp.Compare(l.priority, p) })
+	if !found {
+		c.levels = slices.Insert(c.levels, i, &level{priority: priority, finishTags: map[string]float64{}, byTenant: map[string]*tenantQueue{}})
+	}
+	return c.levels[i]
+}
+
 // Queue is a weighted fair queue. It is not safe for concurrent use.
 type Queue struct {
 	limits  Limits
@@ -111,7 +136,7 @@
 func New(l Limits) *Queue {
 	q := &Queue{limits: l, byID: map[uint64]*entry{}}
 	for i := range q.classes {
-		q.classes[i] = classQueue{finishTags: map[string]float64{}, byTenant: map[string]*tenantQueue{}}
+		q.classes[i].level(0)
 	}
 	return q
 }
@@ -128,12 +153,13 @@
 	}
 	q.lastSeq++
 	e := &entry{item: it, seq: q.lastSeq}
-	startTag := max(c.virtualTime, c.finishTags[it.Tenant])
-	c.finishTags[it.Tenant] = startTag + weightedCost(it)
-	t := c.byTenant[it.Tenant]
+	l := c.level(it.Priority)
+	startTag := max(l.virtualTime, l.finishTags[it.Tenant])
+	l.finishTags[it.Tenant] = startTag + weightedCost(it)
+	t := l.byTenant[it.Tenant]
 	if t == nil {
 		t = &tenantQueue{}
-		c.byTenant[it.Tenant] = t
+		l.byTenant[it.Tenant] = t
 	}
 	heap.Push(&t.entries, e)
 	t.startTags = append(t.startTags, startTag)
@@ -142,11 +168,15 @@
 	return nil
 }
 
+// queued returns the number of items of a tenant in all levels.
 func (c *classQueue) queued(tenant string) int {
-	if t := c.byTenant[tenant]; t != nil {
-		return len(t.entries)
+	n := 0
+	for _, l := range c.levels {
+		if t := l.byTenant[tenant]; t != nil {
+			n += len(t.entries)
+		}
 	}
-	return 0
+	return n
 }
 
 func weightedCost(it Item) float64 {
@@ -159,8 +189,8 @@
 
 // Next removes and returns the first item that accepts returns true for, or
 // false if there is none. It calls accepts only for the first item of each
-// tenant, so that a tenant whose requests cannot run now does not block the
-// others.
+// tenant of each priority, so that a tenant whose requests cannot run now does not block
+// the others.
 func (q *Queue) Next(accepts func(Item) bool) (Item, bool) {
 	for i := range q.classes {
 		if it, ok := q.nextInClass(&q.classes[i], accepts); ok {
@@ -171,41 +201,105 @@
 }
 
 func (q *Queue) nextInClass(c *classQueue, accepts func(Item) bool) (Item, bool) {
-	tenants := make([]*tenantQueue, 0, len(c.byTenant))
-	for _, t := range c.byTenant {
+	several := 0
+	for _, l := range c.levels {
+		if len(l.byTenant) > 0 {
+			several++
+		}
+	}
+	if several > 1 {
+		if c.sinceAged++; c.sinceAged >= ageInterval {
+			return q.oldestInClass(c, accepts)
+		}
+	}
+	for _, l := range c.levels {
+		if it, ok := q.nextInLevel(c, l, accepts); ok {
+			return it, true
+		}
+	}
+	if several > 1 {
+		// Nothing was served.
+		c.sinceAged--
+	}
+	return Item{}, false
+}
+
+// candidate is the first item of a tenant of a level.
+type candidate struct {
+	level  *level
+	tenant *tenantQueue
+}
+
+// first returns the candidate's entry.
+func (f candidate) first() *entry { return f.tenant.entries[0] }
+
+// oldestInClass is like nextInClass, but the items that have waited longest go first.
+func (q *Queue) oldestInClass(c *classQueue, accepts func(Item) bool) (Item, bool) {
+	var candidates []candidate
+	for _, l := range c.levels {
+		for _, t := range l.byTenant {
+			candidates = append(candidates, candidate{l, t})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.first().seq, b.first().seq) })
+	for _, f := range candidates {
+		if accepts(f.first().item) {
+			c.sinceAged = 0
+			return q.serve(c, f), true
+		}
+	}
+	// The next call tries again.
+	c.sinceAged--
+	return Item{}, false
+}
+
+func (q *Queue) nextInLevel(c *classQueue, l *level, accepts func(Item) bool) (Item, bool) {
+	tenants := make([]*tenantQueue, 0, len(l.byTenant))
+	for _, t := range l.byTenant {
 		tenants = append(tenants, t)
 	}
 	slices.SortFunc(tenants, func(a, b *tenantQueue) int {
 		return cmp.Or(cmp.Compare(a.startTags[0], b.startTags[0]), cmp.Compare(a.entries[0].seq, b.entries[0].seq))
 	})
 	for _, t := range tenants {
-		e := t.entries[0]
-		if accepts(e.item) {
-			c.virtualTime = max(c.virtualTime, t.startTags[0])
-			t.startTags = t.startTags[1:]
-			q.removeEntry(c, e)
-			return e.item, true
+		if accepts(t.entries[0].item) {
+			return q.serve(c, candidate{l, t}), true
 		}
 	}
 	return Item{}, false
 }
 
+// serve removes and returns a candidate's item, at the cost of its tenant's share.
+func (q *Queue) serve(c *classQueue, f candidate) Item {
+	e := f.first()
+	f.level.virtualTime = max(f.level.virtualTime, f.tenant.startTags[0])
+	f.tenant.startTags = f.tenant.startTags[1:]
+	q.removeEntry(c, e)
+	return e.item
+}
+
 // removeEntry removes an entry from its class. It drops the finish tag of a
-// tenant without items once the virtual time has reached the tag.
+// tenant without items once the virtual time has reached the tag, and a level without
+// items.
 func (q *Queue) removeEntry(c *classQueue, e *entry) {
 	delete(q.byID, e.item.ID)
 	name := e.item.Tenant
-	t := c.byTenant[name]
+	l := c.level(e.item.Priority)
+	t := l.byTenant[name]
 	heap.Remove(&t.entries, e.index)
 	// After Next the first tag is gone; for an item that is not served it is the
 	// last one that its tenant gives up.
 	t.startTags = t.startTags[:min(len(t.startTags), len(t.entries))]
 	c.size--
-	if len(t.entries) == 0 {
-		delete(c.byTenant, name)
-		if c.finishTags[name] <= c.virtualTime {
-			delete(c.finishTags, name)
-		}
+	if len(t.entries) > 0 {
+		return
+	}
+	delete(l.byTenant, name)
+	if l.finishTags[name] <= l.virtualTime {
+		delete(l.finishTags, name)
+	}
+	if l.priority != 0 && len(l.byTenant) == 0 {
+		c.levels = slices.DeleteFunc(c.levels, func(o *level) bool { return o == l })
 	}
 }
 
@@ -223,11 +317,9 @@
 func (q *Queue) Expire(now time.Time) []Item {
 	var out []Item
 	for i := range q.classes {
-		for _, t := range q.classes[i].byTenant {
-			for _, e := range t.entries {
-				if d := e.item.Deadline; !d.IsZero() && !now.Before(d) {
-					out = append(out, e.item)
-				}
+		for _, l := range q.classes[i].levels {
+			for _, t := range l.byTenant {
+				out = t.appendExpired(out, now)
 			}
 		}
 	}
@@ -237,14 +329,26 @@
 	return out
 }
 
+// appendExpired appends the items whose deadline is at or before now.
+func (t *tenantQueue) appendExpired(items []Item, now time.Time) []Item {
+	for _, e := range t.entries {
+		if d := e.item.Deadline; !d.IsZero() && !now.Before(d) {
+			items = append(items, e.item)
+		}
+	}
+	return items
+}
+
 // Len returns how many items of a class are queued.
 func (q *Queue) Len(c rollout.Class) int { return q.classes[c].size }
 
 // Tenants returns how many items of a class are queued for each tenant.
 func (q *Queue) Tenants(c rollout.Class) map[string]int {
-	out := make(map[string]int, len(q.classes[c].byTenant))
-	for name, t := range q.classes[c].byTenant {
-		out[name] = len(t.entries)
+	out := map[string]int{}
+	for _, l := range q.classes[c].levels {
+		for name, t := range l.byTenant {
+			out[name] += len(t.entries)
+		}
 	}
 	return out
 }
