--- a/rollout/routing/table.go
+++ b/rollout/routing/table.go
@@ -55,9 +55,11 @@
 	if i := strings.LastIndexByte(host, ':'); i > 0 && !strings.Contains(host[i:], "]") {
 		host = host[:i]
 	}
-	for _, r := range t.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
+	routes := t.hosts[strings.ToLower(host)]
+	// A host may have over a thousand routes, which are not copied.
+	for i := range routes {
+		if strings.HasPrefix(path, routes[i].Prefix) {
+			return routes[i], true
 		}
 	}
 	return rollout.Route{}, false
