--- a/lagoonlink/internal/jobs/reader_test.go
+++ b/lagoonlink/internal/jobs/reader_test.go
@@ -13,6 +13,7 @@
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/assert"
 	"lagoonlink.org/rollout/job"
+	"lagoonlink.org/rollout/tenancy"
 )
 
 const (
@@ -108,7 +109,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	r, err := m.Results(ctx, id, after, 0)
+	r, err := m.Results(ctx, tenancy.Caller{}, id, after, 0)
 	for i, e := range r.Results {
 		assert.True(t, fmt.Sprintf("text %d is that of its sample", after+i), bytes.Equal(e.Text, textOf(id, after+i)))
 	}
@@ -205,7 +206,7 @@
 	slow.delay = func(rollout.Offset) time.Duration { return time.Minute }
 	ctx, leave := context.WithCancel(t.Context())
 	time.AfterFunc(4*roundTrip, leave)
-	_, err := m.Results(ctx, "0", 0, 0)
+	_, err := m.Results(ctx, tenancy.Caller{}, "0", 0, 0)
 	assert.True(t, "the read failed", err != nil)
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 		slow.mu.Lock()
@@ -240,7 +241,7 @@
 			var callers sync.WaitGroup
 			for n := range 32 {
 				callers.Go(func() {
-					_, err := m.Results(t.Context(), fmt.Sprint(n%4), 0, 0)
+					_, err := m.Results(t.Context(), tenancy.Caller{}, fmt.Sprint(n%4), 0, 0)
 					assert.True(t, "the read succeeds", err == nil)
 				})
 			}
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -303,8 +303,11 @@
 	t.runner.manager.writers[t.run.partitionNumber].enqueue(t.fragmentOutput())
 }
 
+// fragmentOutput returns the text so far as a fragment.
 func (t *sampleRun) fragmentOutput() sampleOutput {
-	return sampleOutput{job: t.run.job.ID, text: slices.Clone(t.progress.Text()), fragment: t.progress.Fragment(t.sample.ID, time.Now())}
+	f := t.progress.Fragment(t.sample.ID, time.Now())
+	f.Tenant = t.run.job.Tenant
+	return sampleOutput{job: t.run.job.ID, text: slices.Clone(t.progress.Text()), fragment: f}
 }
 
 // finish logs the end of the sample and stores its result.
@@ -321,6 +324,9 @@
 	tagged := m.config.Metrics.Tagged(map[string]string{"model": string(u.submission.Model)})
 	tagged.Histogram("sample_seconds", metrics.LatencyBuckets).RecordDuration(time.Since(u.submission.At))
 	tagged.Counter("sample_runs").Inc(int64(len(t.servers)))
+	if u.job.Tenant != "" {
+		m.config.Metrics.Tagged(map[string]string{"tenant": m.config.TenantLabels.Value(u.job.Tenant)}).Counter("tenant_samples").Inc(1)
+	}
 	fields := event.Fields{
 		"Job": u.job.ID, "Sample": t.sample.ID, "Outcome": outcome, "Pieces": p.Pieces(), "Resumed": t.resumedPieces, "Versions": p.Versions(),
 		"Servers": t.servers, "Waited": t.queueTime.Seconds(), "Age": time.Since(u.submission.At).Seconds(), "Estimate": t.sample.Length, "NotRun": t.notRun, "Failures": p.Failures(),
@@ -337,7 +343,7 @@
 // possibly a run of another job.
 func (t *sampleRun) resumeFromFragment() {
 	m := t.runner.manager
-	f, ok := m.longestFragment(t.sample.ID)
+	f, ok := m.longestFragment(t.run.job.Tenant, t.sample.ID)
 	if !ok {
 		return
 	}
@@ -456,7 +462,7 @@
 	defer timer.Stop()
 	reader, err := t.runner.manager.config.Engine.Sample(ctx, grant.Server, rollout.SampleRequest{
 		ID: t.sample.ID, Host: t.run.submission.Host, Path: t.sample.Path,
-		Header: t.sample.Header, Body: t.sample.Body, Pieces: t.progress.Pieces(),
+		Header: t.sample.Header, Body: t.sample.Body, Pieces: t.progress.Pieces(), Tenant: t.run.job.Tenant,
 	})
 	if err != nil {
 		return timeoutCause(ctx, err)
--- a/lagoonlink/internal/jobs/score.go
+++ b/lagoonlink/internal/jobs/score.go
@@ -197,7 +197,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	startedAt := time.Now()
-	e.score, e.err = m.config.Scorer.Score(callCtx, grant.Server, rollout.ScoreRequest{ID: q.ID, Host: q.Host, Path: q.Path, Body: q.Body})
+	e.score, e.err = m.config.Scorer.Score(callCtx, grant.Server, rollout.ScoreRequest{ID: q.ID, Host: q.Host, Path: q.Path, Body: q.Body, Tenant: t.run.job.Tenant})
 	e.took = time.Since(startedAt)
 	grant.Done(scoreResult(ctx, e))
 	return e
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -69,16 +69,25 @@
 	Unchanged bool
 }
 
+// Changes are changes of a feed in order.
+type Changes[T any] struct {
+	Changes []Change[T]
+	// Next is the offset from which to continue.
+	Next Offset
+	// AtEnd reports whether there was no further change at the time of the read.
+	AtEnd bool
+}
+
 // Feed is a compacted topic: it retains the newest value of each key.
 type Feed[T any] interface {
 	// Snapshot returns the newest value of each key, and the offset from which
 	// to continue with Since.
 	Snapshot(ctx context.Context) ([]Change[T], Offset, error)
-	// Since returns the changes starting at offset from, and the offset from
-	// which to continue. If there is no change yet, it waits up to wait for one.
-	// It returns a TrimmedError if changes at from are no longer retained; the
+	// Since returns the changes starting at offset from. If there is no change yet, it
+	// waits up to wait for one. It may leave out changes that later ones of the same read
+	// replace. It returns a TrimmedError if changes at from are no longer retained; the
 	// consumer then needs a new snapshot.
-	Since(ctx context.Context, from Offset, wait time.Duration) ([]Change[T], Offset, error)
+	Since(ctx context.Context, from Offset, wait time.Duration) (Changes[T], error)
 }
 
 // Declared is a publication by an operator or a trainer: either a route table
@@ -148,6 +157,9 @@
 	// Resumes is the ID of the request that brought the first event of that stream; it
 	// is empty if the caller doesn't state it.
 	Resumes string
+	// Tenant is the name of the tenant that sent the request; it is empty if nobody's key
+	// was checked.
+	Tenant string
 }
 
 // ForwardedResponse is a backend server's response.
@@ -320,6 +332,8 @@
 	// Pieces is the number of pieces already received; the engine resumes after
 	// them.
 	Pieces int
+	// Tenant is the name of the tenant that the job belongs to, or empty.
+	Tenant string
 }
 
 // ScoreRequest asks a plain service for the score of a sample's text.
@@ -328,6 +342,8 @@
 	Host string
 	Path string
 	Body []byte
+	// Tenant is the name of the tenant that the job belongs to, or empty.
+	Tenant string
 }
 
 // SampleScorer sends scoring requests to the servers of plain services. A failure that
