duties: count requests by tenant and report them from one VM

Cause: the platform wants one report for each window, with the requests of each tenant; two VMs must never report at the same time or differently.

Task usage stores what relay counts.

--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -23,6 +23,7 @@
 	"lagoonlink.org/lagoonlink/internal/metrics"
 	"lagoonlink.org/lagoonlink/internal/relay"
 	"lagoonlink.org/platform/backend"
+	"lagoonlink.org/platform/cloud"
 	"lagoonlink.org/platform/front"
 	"lagoonlink.org/platform/settings"
 	"lagoonlink.org/platform/store"
@@ -92,7 +93,7 @@
 	backendClient := backend.New(serverClient)
 	return gateway.New(gateway.Config{
 		VM: rollout.VMName(s.VM), Address: s.IP, Zone: rollout.Zone(s.Zone), Capacity: s.Capacity, Partitions: s.Partitions, RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
-		Grace: s.Grace, OrderLease: s.OrderLease, MinMembershipLease: s.MinMembership, ChecksFence: s.FencingRequired,
+		Grace: s.Grace, OrderLease: s.OrderLease, MinMembershipLease: s.MinMembership, ChecksFence: s.FencingRequired, Duties: newDuties(s, serverClient),
 		Journal: platformStore, Groups: platformStore, Operator: store.OperatorFeed(platformStore), Servers: store.ServerFeed(platformStore),
 		Forwarder: backendClient, Engine: backendClient, Scorer: backendClient, Control: backendClient, Limits: backendClient, Departures: backendClient,
 		NewListener: func(requests *relay.Relay, manager *jobs.Manager, ready func() bool) gateway.Listener {
@@ -105,6 +106,18 @@
 	}).Run(ctx)
 }
 
+// newDuties returns the calls that only one VM may make at a time, none if the settings
+// name no address for them.
+func newDuties(s settings.Settings, client *httpclient.Client) gateway.Duties {
+	if s.Cloud == "" {
+		return gateway.Duties{}
+	}
+	return gateway.Duties{
+		Cloud: cloud.New(client, s.Cloud), ReportsUsage: s.ReportsUsage, OrdersServers: s.OrdersServers, Rate: s.CloudRate,
+		Window: s.ReportWindow, Late: s.UsageLate,
+	}
+}
+
 // notifySignals returns a channel that receives the signals, which no longer kill the
 // process.
 func notifySignals(signals ...os.Signal) <-chan os.Signal {
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -8,8 +8,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/oklog/run"
@@ -17,6 +19,7 @@
 
 	"lagoonlink.org/lagoonlink/internal/departure"
 	"lagoonlink.org/lagoonlink/internal/dispatch"
+	"lagoonlink.org/lagoonlink/internal/duties"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/fleet"
 	"lagoonlink.org/lagoonlink/internal/incarnation"
@@ -29,6 +32,7 @@
 	"lagoonlink.org/lagoonlink/internal/relay"
 	"lagoonlink.org/lagoonlink/internal/suspicions"
 	"lagoonlink.org/lagoonlink/internal/swaps"
+	"lagoonlink.org/lagoonlink/internal/usage"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/candidacy"
 	"lagoonlink.org/rollout/fair"
@@ -101,6 +105,8 @@
 	ChecksFence bool
 	// MinMembershipLease is the shortest lease of a group membership.
 	MinMembershipLease time.Duration
+	// Duties configures the calls that only one VM may make at a time.
+	Duties Duties
 
 	Journal   rollout.Journal
 	Groups    rollout.Groups
@@ -133,6 +139,21 @@
 	Metrics tally.Scope
 }
 
+// Duties configures the calls that only one VM may make at a time.
+type Duties struct {
+	// Cloud receives the calls. If it is nil, none are made.
+	Cloud rollout.Cloud
+	// ReportsUsage and OrdersServers select the calls.
+	ReportsUsage, OrdersServers bool
+	// Rate is the number of calls a second that Cloud takes from all VMs.
+	Rate float64
+	// Window is the length of a window of usage. Its report is due Late after its end.
+	Window, Late time.Duration
+}
+
+// enabled reports whether any calls are made.
+func (d Duties) enabled() bool { return d.Cloud != nil && (d.ReportsUsage || d.OrdersServers) }
+
 // Gateway is one entry VM.
 type Gateway struct {
 	config     Config
@@ -144,8 +165,11 @@
 	quotas     *quotas.Tracker
 	origins    *origins.Registry
 	suspicions *suspicions.Syncer
-	listener   Listener
-	stopping   chan struct{}
+	// duties and usage are nil if there are no calls of their kind.
+	duties   *duties.Holder
+	usage    *usage.Tracker
+	listener Listener
+	stopping chan struct{}
 }
 
 // New returns an entry VM that is not running yet.
@@ -181,13 +205,38 @@
 		Lease: c.OrderLease, Logger: c.Logger,
 	})
 	g.origins = origins.New(origins.Config{Journal: c.Journal, Servers: g.fleet, Logger: c.Logger})
-	requests := relay.New(relay.Config{
+	g.newDuties()
+	relayConfig := relay.Config{
 		InForce: inForce, Dispatch: g.dispatch, Forwarder: gate, Origins: g.origins, Incarnations: incarnations, Logger: c.Logger, Metrics: c.Metrics,
-	})
+	}
+	if g.usage != nil {
+		relayConfig.Usage = g.usage
+	}
+	requests := relay.New(relayConfig)
 	g.listener = c.NewListener(requests, g.manager, g.ready)
 	return g
 }
 
+// newDuties creates the tasks for calls that only one VM may make at a time, if there are
+// such calls.
+func (g *Gateway) newDuties() {
+	c, d := g.config, g.config.Duties
+	if !d.enabled() {
+		return
+	}
+	// The number identifies this process among those of VMs with the same name.
+	incarnation := strconv.FormatUint(rand.Uint64(), 36)
+	if d.ReportsUsage {
+		g.usage = usage.New(usage.Config{
+			VM: c.VM, Incarnation: incarnation, Journal: c.Journal, Window: d.Window, Late: d.Late, Logger: c.Logger, Metrics: c.Metrics,
+		})
+	}
+	g.duties = duties.New(duties.Config{
+		VM: c.VM, Incarnation: incarnation, Journal: c.Journal, Cloud: d.Cloud, IsCandidate: g.manager.IssuesOrders, Lease: c.OrderLease, ChecksFence: c.ChecksFence,
+		Rate: d.Rate, ReportsUsage: d.ReportsUsage, Window: d.Window, Late: d.Late, Logger: c.Logger, Metrics: c.Metrics,
+	})
+}
+
 // ready reports whether the load balancer may send new connections.
 func (g *Gateway) ready() bool {
 	select {
@@ -206,7 +255,7 @@
 	defer cancel()
 	var tasks run.Group
 	first := make(chan string, 1)
-	for name, task := range map[string]func(context.Context) error{
+	tasksByName := map[string]func(context.Context) error{
 		"log":      g.config.Sink.Run,
 		"dispatch": g.dispatch.Run,
 		"operator": g.fleet.FollowOperator,
@@ -226,7 +275,14 @@
 		"ready":    g.listener.ServeReady,
 		"signals":  g.stopOnSignal,
 		"metrics":  g.serveMetrics,
-	} {
+	}
+	if g.duties != nil {
+		tasksByName["duties"] = g.duties.Run
+	}
+	if g.usage != nil {
+		tasksByName["usage"] = g.usage.Run
+	}
+	for name, task := range tasksByName {
 		tasks.Add(func() error {
 			defer func() {
 				select {
--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -81,6 +81,8 @@
 	// crashed.
 	address string
 	group   sync.WaitGroup
+	// duties configures the singleton calls of VMs that are started later.
+	duties gateway.Duties
 	// log collects the log lines of all VMs; a failed test prints them.
 	log logBuffer
 }
@@ -159,7 +161,7 @@
 	f := &fakeListener{closed: make(chan struct{}), terminate: make(chan os.Signal, 1), hangup: make(chan os.Signal, 1)}
 	g := gateway.New(gateway.Config{
 		VM: vm, Zone: "z", Partitions: partitions, RecordBytes: 1 << 16, CallBytes: 1 << 20,
-		Grace: 2 * time.Second, OrderLease: 200 * time.Millisecond, ChecksFence: true, MinMembershipLease: 200 * time.Millisecond,
+		Grace: 2 * time.Second, OrderLease: 200 * time.Millisecond, ChecksFence: true, MinMembershipLease: 200 * time.Millisecond, Duties: d.duties,
 		Journal: access, Groups: access, Operator: d.operator, Servers: d.servers, Engine: d.engines, Scorer: d.scorers, Control: d.engines, Limits: d.engines, Departures: d.engines,
 		NewListener: func(_ *relay.Relay, m *jobs.Manager, _ func() bool) gateway.Listener {
 			f.manager = m
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -7,7 +7,9 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -48,6 +50,9 @@
 	minAttemptObjectives = 1.5
 )
 
+// refusalStatuses guarantee that the request has not run.
+var refusalStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 // Config configures a Relay.
 type Config struct {
 	InForce   *inforce.Holder
@@ -56,8 +61,10 @@
 	Origins   rollout.StreamOrigins
 	// Incarnations confirms the servers that continue streams.
 	Incarnations *incarnation.Checker
-	Logger       *event.Logger
-	Metrics      tally.Scope
+	// Usage counts the requests that servers began to run. It may be nil.
+	Usage   rollout.UsageReceiver
+	Logger  *event.Logger
+	Metrics tally.Scope
 }
 
 // Relay forwards callers' requests to backend servers.
@@ -82,7 +89,9 @@
 	// certainly did not run.
 	attemptsRun int
 	refusals    int
-	avoid       []rollout.ServerName
+	// began is set once the request was counted as begun.
+	began bool
+	avoid []rollout.ServerName
 	// verdict is NotRun until an attempt may have run, then MayHaveRun.
 	verdict rollout.Verdict
 }
@@ -244,12 +253,15 @@
 		result.Failed = ctx.Err() == nil
 		result.ConnectionLost = attemptCtx.Err() == nil
 	}
+	if !s.request.Streamed && verdict != rollout.NotRun && !slices.Contains(refusalStatuses, response.Status) {
+		s.countBegan(start)
+	}
 	if response.Stream != nil {
 		if !s.request.Resumed {
 			s.relay.config.Origins.Began(s.request.ID, grant.Server)
 		}
 		s.logStream(grant, start)
-		response.Stream = &grantedStream{ResponseStream: response.Stream, ctx: attemptCtx, cancel: cancel, grant: grant, result: result}
+		response.Stream = &grantedStream{ResponseStream: response.Stream, ctx: attemptCtx, cancel: cancel, grant: grant, result: result, began: s.countBegan}
 		return response, nil
 	}
 	cancel()
@@ -257,6 +269,16 @@
 	return response, err
 }
 
+// countBegan counts the request as begun at a time, unless it was counted before. A request
+// that continues a stream was counted when that began.
+func (s *servedRequest) countBegan(at time.Time) {
+	if s.began || s.request.Resumed || s.relay.config.Usage == nil {
+		return
+	}
+	s.began = true
+	s.relay.config.Usage.RequestBegan(s.request.Tenant, s.request.ID, at)
+}
+
 // forward sends the request to the granted server. A request that continues a stream is
 // only sent to a server of a pool that confirms its incarnation.
 func (s *servedRequest) forward(ctx context.Context, grant *dispatch.Grant) (rollout.ForwardedResponse, error) {
@@ -298,12 +320,18 @@
 	cancel context.CancelFunc
 	grant  *dispatch.Grant
 	result dispatch.Result
+	// began is called with the time of the first bytes.
+	began func(at time.Time)
 }
 
 // Read reads from the stream. A stream that breaks off counts against its server as a lost
 // connection does before the first byte.
 func (g *grantedStream) Read(data []byte) (int, error) {
 	n, err := g.ResponseStream.Read(data)
+	if n > 0 && g.began != nil {
+		g.began(time.Now())
+		g.began = nil
+	}
 	if err != nil && !errors.Is(err, io.EOF) && g.ctx.Err() == nil {
 		g.result.Failed, g.result.ConnectionLost = true, true
 	}
--- a/lagoonlink/internal/relay/relay_test.go
+++ b/lagoonlink/internal/relay/relay_test.go
@@ -16,7 +16,9 @@
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/inforce"
+	"lagoonlink.org/lagoonlink/internal/origins"
 	"lagoonlink.org/lagoonlink/internal/relay"
+	"lagoonlink.org/lagoonlink/internal/standin"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/assert"
 	"lagoonlink.org/rollout/fair"
@@ -38,6 +40,17 @@
 	mu      sync.Mutex
 	script  []any
 	servers []rollout.ServerName
+	// began holds the tenants of the requests that were counted, sentAt the times of their
+	// attempts.
+	began  []string
+	sentAt []time.Time
+}
+
+// RequestBegan implements rollout.UsageReceiver.
+func (f *scriptedForwarder) RequestBegan(tenant, _ string, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.began, f.sentAt = append(f.began, tenant), append(f.sentAt, at)
 }
 
 func (f *scriptedForwarder) Forward(ctx context.Context, server rollout.Server, _ rollout.ForwardedRequest) (rollout.ForwardedResponse, error) {
@@ -90,10 +103,13 @@
 		time.Sleep(time.Millisecond)
 	}
 	f := &scriptedForwarder{script: script}
-	r := relay.New(relay.Config{InForce: inForce, Dispatch: d, Forwarder: f, Logger: logger, Metrics: tally.NoopScope})
+	r := relay.New(relay.Config{
+		InForce: inForce, Dispatch: d, Forwarder: f, Usage: f, Logger: logger, Metrics: tally.NoopScope,
+		Origins: origins.New(origins.Config{Journal: standin.NewStore(1).ForVM("a"), Logger: logger}),
+	})
 	matched, err := r.Route("h", "/x")
 	assert.NoError(t, "route", err)
-	response, err := r.Serve(ctx, rollout.ForwardedRequest{ID: "1", Method: "POST", Host: "h", Target: "/x"}, matched, timeout)
+	response, err := r.Serve(ctx, rollout.ForwardedRequest{ID: "1", Method: "POST", Host: "h", Target: "/x", Tenant: "x"}, matched, timeout)
 	return response, f, err
 }
 
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -145,6 +145,8 @@
 	// Resumes is the ID of the request that brought the first event of that stream; it
 	// is empty if the caller doesn't state it.
 	Resumes string
+	// Tenant is the name of the caller's tenant, or empty.
+	Tenant string
 }
 
 // ForwardedResponse is a backend server's response.
