platform: report the load that servers state in responses

Servers state their load and the pace of their machine in responses to requests, but no VM reads it, so placement can't use it.

--- /dev/null
+++ b/rollout/serverload.go
@@ -0,0 +1,27 @@
+package rollout
+
+import "time"
+
+// ServerLoad is the load that a server states in a response.
+type ServerLoad struct {
+	// Running and Waiting are the numbers of requests of all VMs that the server runs
+	// and queues; it runs at most Slots at once.
+	Running, Waiting, Slots int
+	// Pace is how long work takes on the server's machine at the moment, in percent of
+	// the usual time.
+	Pace float64
+	// At is when the response arrived.
+	At time.Time
+}
+
+// ServerLoadReceiver receives the load that servers state in responses. Its method must
+// not block.
+type ServerLoadReceiver interface {
+	ObserveLoad(s ServerName, l ServerLoad)
+}
+
+// ServerLoadSource reports the load that is stated in the responses that it receives.
+type ServerLoadSource interface {
+	// NotifyLoads sets the receiver. It must be called before requests are sent.
+	NotifyLoads(r ServerLoadReceiver)
+}
