placement: choose plain services' servers by stated load

VMs know only their own requests at a server.

Where servers state a pace, callers' requests to plain services go to the server at which they are probably complete first. The new pure package spill decides which share of them may leave the zone; the share moves by bounded steps. The pace also weighs the placement of samples at engines. Servers that state no pace are chosen as before.

--- /dev/null
+++ b/rollout/placement/load_test.go
@@ -0,0 +1,119 @@
+package placement_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/assert"
+	"lagoonlink.org/rollout/placement"
+)
+
+var strategies = []struct {
+	name string
+	strategy
+}{
+	{"stated load", strategy{stated: true}},
+	{"as before", strategy{}},
+	{"least outstanding", strategy{policy: placement.PolicyLeastOutstanding}},
+	{"round robin", strategy{policy: placement.PolicyRoundRobin}},
+	{"never leave", strategy{stated: true, stay: true}},
+	{"least stated", strategy{leastStated: true}},
+}
+
+func usualPace(float64) float64 { return 1 }
+func never(float64) bool        { return false }
+
+// slowedPace slows a server 2.5 times for 15 % of the time, for 300 ms in a row.
+func slowedPace(shift float64) func(float64) float64 {
+	return func(seconds float64) float64 {
+		if n := seconds + shift; n-float64(int(n/2))*2 < 0.3 {
+			return 2.5
+		}
+		return 1
+	}
+}
+
+// newLoad returns an equal load on three zones with a server of 6 slots each. Requests take
+// longer if there are few of them.
+func newLoad(vms int, rate float64) load {
+	l := load{roundTrip: 0.0108, work: 0.010, seconds: 6}
+	if rate < 1 {
+		l.work, l.seconds = 0.025, 150
+	}
+	for i := range 3 {
+		l.servers = append(l.servers, playedServer{
+			declared: rollout.Server{Name: rollout.ServerName(fmt.Sprint("s", i)), Zone: rollout.Zone(fmt.Sprint("z", i)), Address: fmt.Sprint(i)},
+			slots:    6, pace: usualPace, gone: never,
+		})
+	}
+	for i := range vms {
+		l.vms = append(l.vms, playedVM{zone: rollout.Zone(fmt.Sprint("z", i%3)), rate: rate})
+	}
+	return l
+}
+
+var playedLoads = []struct {
+	name   string
+	change func(l *load)
+}{
+	{"equal", func(*load) {}},
+	{"uneven", func(l *load) {
+		for i := range l.vms {
+			if i%3 == 0 {
+				l.vms[i].rate *= 2.3
+			} else {
+				l.vms[i].rate *= 0.2
+			}
+		}
+	}},
+	{"changing", func(l *load) {
+		for i := range l.servers {
+			l.servers[i].pace = slowedPace(0.7 * float64(i))
+		}
+	}},
+	{"lying", func(l *load) {
+		l.servers[0].lies, l.servers[0].pace = true, func(float64) float64 { return 4 }
+	}},
+	{"too few", func(l *load) { l.servers[0].slots = 2 }},
+	{"none", func(l *load) { l.servers = l.servers[1:] }},
+	{"gone", func(l *load) {
+		l.servers[0].gone = func(s float64) bool { return s > l.seconds*0.3 && s < l.seconds*0.6 }
+	}},
+	{"slow", func(l *load) { l.servers[0].pace = func(float64) float64 { return 4 } }},
+}
+
+// playedDemands are few VMs with many requests and many VMs with few, in zones that are far
+// from each other or near.
+var playedDemands = []struct {
+	vms             int
+	rate, roundTrip float64
+}{{3, 300, 0.0108}, {68, 13, 0.0018}, {68, 0.2, 0.0108}}
+
+// TestPlayedLoads guards against placement by stated load that serves callers worse than
+// simple strategies do, lets requests fail, or moves them back and forth between zones.
+func TestPlayedLoads(t *testing.T) {
+	for _, c := range playedLoads {
+		for _, d := range playedDemands {
+			t.Run(fmt.Sprintf("%s, %d VMs with %g a second, %.1f ms", c.name, d.vms, d.rate, 1e3*d.roundTrip), func(t *testing.T) {
+				l := newLoad(d.vms, d.rate)
+				l.roundTrip = d.roundTrip
+				c.change(&l)
+				stated, least := outcome{}, math.Inf(1)
+				for _, s := range strategies {
+					o := play(l, s.strategy, 1)
+					t.Logf("%-18s %s", s.name, o)
+					if s.name == "stated load" {
+						stated = o
+					} else {
+						least = min(least, o.mean)
+					}
+				}
+				assert.AtMost(t, "mean time relative to the best baseline", stated.mean/least, 1.2)
+				assert.Equal(t, "share of failed requests", stated.failed, 0)
+				assert.Equal(t, "swings", stated.swings, 0)
+			})
+		}
+	}
+}
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/spill"
 )
 
 // Policy selects how a server is chosen among the eligible ones.
@@ -53,6 +54,11 @@
 	// InitialLimit is the initial concurrency limit of a new server; 0 means 8.
 	InitialLimit int
 	Policy       Policy
+	// Engines reports whether the servers are model engines. Their servers are not chosen by
+	// the estimated time, because streams and samples run for seconds.
+	Engines bool
+	// BytePrice is the price of a byte between zones, in seconds of waiting; 0 means none.
+	BytePrice float64
 }
 
 // Parameters of the adaptive concurrency limit, of ejection and of prefix
@@ -92,6 +98,8 @@
 	unitTimeAt time.Time
 	quota      rateQuota
 	refusals   refusals
+	load       statedLoad
+	zone       *zone
 }
 
 // Pool is the placement state of one pool or service.
@@ -99,6 +107,25 @@
 	config   Config
 	servers  []*server
 	rotation int
+	// eligibleServers, times and others are buffers that are used again.
+	eligibleServers []*server
+	times           []float64
+	others          []spill.Zone
+
+	zones []*zone
+	// statedAt is when a server last stated its load, work the usual time of work in
+	// seconds. It and the zones' round trips were computed at refreshedAt.
+	statedAt    time.Time
+	work        float64
+	refreshedAt time.Time
+	// spill was last updated at spillAt.
+	spill     spill.Controller
+	spillAt   time.Time
+	demand    demand
+	meanBytes float64
+	// unserved reports whether no server of the home zone could take the last request.
+	unserved bool
+	report   SpillReport
 }
 
 // New returns a pool without servers.
@@ -123,7 +150,7 @@
 		if old != nil {
 			s.inFlight = old.inFlight
 		}
-		s.declared = d
+		s.declared, s.zone = d, p.findZone(d.Zone)
 		s.limit = min(s.limit, float64(s.maxLimit(c)))
 		p.servers = append(p.servers, s)
 	}
@@ -166,6 +193,8 @@
 	// MaxUnitTime requires a server that recently took at most this time in seconds
 	// per unit; 0 allows any.
 	MaxUnitTime float64
+	// Bytes is the size of the request's body.
+	Bytes int
 }
 
 // Pick returns the server for a request, or false if no server can take it now.
@@ -174,6 +203,9 @@
 	if len(eligible) == 0 {
 		return rollout.Server{}, false
 	}
+	if p.usesEstimate(now, r.Class) {
+		return p.chooseByEstimate(now, eligible).declared, true
+	}
 	return p.choose(now, eligible, r).declared, true
 }
 
@@ -197,13 +229,16 @@
 	return !s.isLeaving(now) && !slices.Contains(r.Avoid, s.declared.Name)
 }
 
+// eligible returns the servers to which a request may be sent now. The slice is valid until
+// the next call.
 func (p *Pool) eligible(now time.Time, r Requirements) []*server {
-	var eligible []*server
+	eligible := p.eligibleServers[:0]
 	for _, s := range p.servers {
 		if p.canTake(now, s, r) {
 			eligible = append(eligible, s)
 		}
 	}
+	p.eligibleServers = eligible
 	return eligible
 }
 
@@ -254,7 +289,7 @@
 	best, bestScore := eligible[0], 0.0
 	for i := range eligible {
 		s := eligible[(i+p.rotation)%len(eligible)]
-		if score := p.score(s, r) + s.slowdownPenalty(now, fastest); i == 0 || score < bestScore {
+		if score := p.score(s, r) + s.slowdownPenalty(now, fastest) + s.pacePenalty(now); i == 0 || score < bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -322,6 +357,8 @@
 	}
 	if r.Class != rollout.ClassRollout && r.Class != rollout.ClassScoring && s.declared.Zone != p.config.Zone {
 		score += otherZonePenalty
+	} else if p.config.BytePrice > 0 && s.declared.Zone != p.config.Zone {
+		score += bytePricePenalty
 	}
 	return score
 }
@@ -342,7 +379,11 @@
 		return
 	}
 	s.inFlight++
+	s.load.sentSince++
 	s.refusals.sent++
+	if p.usesEstimate(now, r.Class) {
+		p.recordSent(now, s, r.Bytes)
+	}
 	s.takePermit()
 	if r.Prefix != 0 {
 		s.recordPrefix(now, r.Prefix)
@@ -408,6 +449,12 @@
 		return
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	if o.Failed || o.SecondsPerUnit > 0 {
+		s.zone.recordLoss(now, o.Failed)
+	}
+	if !o.Failed && !o.Refused && !o.Leaving && o.SecondsPerUnit > 0 && (o.Class == rollout.ClassService || o.Class == rollout.ClassInteractive) {
+		p.measure(now, s, o.SecondsPerUnit)
+	}
 	s.recordUnitTime(now, cmp.Or(o.Pace, o.SecondsPerUnit))
 	switch {
 	case o.Leaving:
