dispatch: pass stated loads to placement and report leaving requests

The dispatcher passes the loads of responses to the pools. The optional setting zones.price_s_per_mb states the price of bytes between zones.

--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -94,7 +94,7 @@
 		VM: rollout.VMName(s.VM), Address: s.IP, Zone: rollout.Zone(s.Zone), Capacity: s.Capacity, Partitions: s.Partitions, RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
 		Grace: s.Grace, OrderLease: s.OrderLease, MinMembershipLease: s.MinMembership, ChecksFence: s.FencingRequired,
 		Journal: platformStore, Groups: platformStore, Operator: store.OperatorFeed(platformStore), Servers: store.ServerFeed(platformStore),
-		Forwarder: backendClient, Engine: backendClient, Scorer: backendClient, Control: backendClient, Limits: backendClient, Departures: backendClient,
+		Forwarder: backendClient, Engine: backendClient, Scorer: backendClient, Control: backendClient, Limits: backendClient, Departures: backendClient, Loads: backendClient, BytePrice: s.BytePrice,
 		NewListener: func(requests *relay.Relay, manager *jobs.Manager, ready func() bool) gateway.Listener {
 			return listener.New(listener.Config{
 				Address: s.Front, Callers: front.New(requests, manager), ReadyAddress: s.Ready, Ready: front.Readiness(ready),
--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/rollout"
@@ -45,6 +47,10 @@
 	// Announce is called when suspicions have changed, so that they are sent to
 	// the other VMs without delay.
 	Announce func()
+	// BytePrice is the price of a byte between zones, in seconds of waiting; 0 means none.
+	BytePrice float64
+	// Metrics is the scope for counters and gauges; nil means none.
+	Metrics tally.Scope
 }
 
 // Target identifies a pool or a service. Exactly one of the fields is set.
@@ -173,6 +179,10 @@
 	appliedView *inforce.View
 	// resolvedRoutes is the routing table under which the queued requests were resolved.
 	resolvedRoutes *routing.Table
+	// zonesReportedAt is when the requests that left the zone were last counted.
+	zonesReportedAt time.Time
+	// labelledServices is the number of services with metrics.
+	labelledServices int
 	// stopped is closed when Run returns; messages are not answered after that.
 	stopped chan struct{}
 }
@@ -204,6 +214,8 @@
 	pool     *placement.Pool
 	waiting  map[uint64]enqueueMessage
 	inFlight map[uint64]*inFlightRequest
+	// departures is what is reported of requests that leave the zone.
+	departures departures
 }
 
 // New returns a Dispatcher. Methods that wait for a reply need Run to be running;
@@ -212,6 +224,9 @@
 	if c.StartLimit == nil {
 		c.StartLimit = func(int) int { return 0 }
 	}
+	if c.Metrics == nil {
+		c.Metrics = tally.NoopScope
+	}
 	return &Dispatcher{
 		config:   c,
 		messages: make(chan any, c.QueueSize),
@@ -343,6 +358,7 @@
 					d.grantQueued(now, ts)
 				}
 			}
+			d.reportZones(now)
 		}
 	}
 }
@@ -375,6 +391,10 @@
 			ts.pool.UpdateLoad(m.server, m.report)
 			d.grantQueued(now, ts)
 		}
+	case serverLoadMessage:
+		for _, ts := range d.targets {
+			ts.pool.ObserveLoad(m.server, m.load)
+		}
 	case rateLimitMessage:
 		d.setRateLimit(now, m)
 	case permitsMessage:
@@ -408,7 +428,9 @@
 	for _, p := range v.Configuration.Pools {
 		t := Target{Pool: p.Name}
 		declared[t] = true
-		d.ensureTarget(t).pool.Configure(d.placementConfig(p.MaxConcurrency, p.InteractiveReserve), p.Servers)
+		c := d.placementConfig(p.MaxConcurrency, p.InteractiveReserve)
+		c.Engines = true
+		d.ensureTarget(t).pool.Configure(c, p.Servers)
 	}
 	for _, s := range v.Configuration.Services {
 		t := Target{Service: s.Name}
@@ -437,7 +459,7 @@
 }
 
 func (d *Dispatcher) placementConfig(maxConcurrency, reserve int) placement.Config {
-	return placement.Config{Zone: d.config.Zone, MaxConcurrency: maxConcurrency, Reserve: reserve, Policy: d.config.Policy, InitialLimit: d.config.StartLimit(maxConcurrency)}
+	return placement.Config{Zone: d.config.Zone, MaxConcurrency: maxConcurrency, Reserve: reserve, Policy: d.config.Policy, InitialLimit: d.config.StartLimit(maxConcurrency), BytePrice: d.config.BytePrice}
 }
 
 func (d *Dispatcher) ensureTarget(t Target) *targetState {
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -114,6 +114,10 @@
 	Limits rollout.LimitSource
 	// Departures reports the servers that state in their responses that they are leaving.
 	Departures rollout.LeavingSource
+	// Loads reports the load that servers state in their responses.
+	Loads rollout.ServerLoadSource
+	// BytePrice is the price of a byte between zones, in seconds of waiting; 0 means none.
+	BytePrice float64
 	// NewListener returns the server for callers, trainers and readiness checks.
 	NewListener func(requests *relay.Relay, manager *jobs.Manager, ready func() bool) Listener
 	// Terminate and Hangup deliver the signals to stop and to read the settings again.
@@ -157,6 +161,7 @@
 		InForce: inForce, Logger: c.Logger, Reachable: httpclient.Reachable, Refuses: httpclient.Refuses, Announce: func() { g.suspicions.Announce() },
 		// Servers register their own concurrency limit, so it is used from the start.
 		StartLimit: func(most int) int { return most },
+		BytePrice:  c.BytePrice, Metrics: c.Metrics,
 		Book: func(s rollout.ServerName, requests int, urgent bool) bool {
 			return g.quotas.Book(s, requests, urgent)
 		},
@@ -164,6 +169,7 @@
 	g.suspicions = suspicions.New(suspicions.Config{Journal: c.Journal, Suspicions: g.dispatch.Suspicions, OnSuspicions: g.dispatch.MergeSuspicions, Logger: c.Logger})
 	g.quotas = quotas.New(quotas.Config{VM: c.VM, Journal: c.Journal, Permits: g.dispatch, Logger: c.Logger})
 	c.Limits.NotifyLimits(g.quotas)
+	c.Loads.NotifyLoads(g.dispatch)
 	g.fleet = fleet.New(fleet.Config{Operator: c.Operator, Servers: c.Servers, InForce: inForce, Dispatch: g.dispatch, ChecksFence: c.ChecksFence, Logger: c.Logger})
 	c.Departures.NotifyLeaving(g.fleet)
 	gate := departure.New(departure.Config{Servers: g.fleet, Forwarder: c.Forwarder, Engine: c.Engine, Scorer: c.Scorer})
--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -160,7 +160,7 @@
 	g := gateway.New(gateway.Config{
 		VM: vm, Zone: "z", Partitions: partitions, RecordBytes: 1 << 16, CallBytes: 1 << 20,
 		Grace: 2 * time.Second, OrderLease: 200 * time.Millisecond, ChecksFence: true, MinMembershipLease: 200 * time.Millisecond,
-		Journal: access, Groups: access, Operator: d.operator, Servers: d.servers, Engine: d.engines, Scorer: d.scorers, Control: d.engines, Limits: d.engines, Departures: d.engines,
+		Journal: access, Groups: access, Operator: d.operator, Servers: d.servers, Engine: d.engines, Scorer: d.scorers, Control: d.engines, Limits: d.engines, Departures: d.engines, Loads: d.engines,
 		NewListener: func(_ *relay.Relay, m *jobs.Manager, _ func() bool) gateway.Listener {
 			f.manager = m
 			return f
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -218,7 +218,7 @@
 	}
 	return dispatch.Request{
 		Resolve:      func(v *inforce.View) (dispatch.Target, error) { return s.target(v), nil },
-		Requirements: placement.Requirements{Class: class, Avoid: s.avoid, Software: s.software}, Tenant: s.route.Name, Share: 1, Cost: 1,
+		Requirements: placement.Requirements{Class: class, Avoid: s.avoid, Software: s.software, Bytes: len(s.request.Body)}, Tenant: s.route.Name, Share: 1, Cost: 1,
 		Deadline: deadline, Fingerprint: s.fingerprint,
 	}
 }
--- a/lagoonlink/internal/standin/engine.go
+++ b/lagoonlink/internal/standin/engine.go
@@ -109,12 +109,16 @@
 }
 
 var (
-	_ rollout.SampleEngine  = (*Engines)(nil)
-	_ rollout.EngineControl = (*Engines)(nil)
-	_ rollout.LimitSource   = (*Engines)(nil)
-	_ rollout.LeavingSource = (*Engines)(nil)
+	_ rollout.SampleEngine     = (*Engines)(nil)
+	_ rollout.EngineControl    = (*Engines)(nil)
+	_ rollout.LimitSource      = (*Engines)(nil)
+	_ rollout.LeavingSource    = (*Engines)(nil)
+	_ rollout.ServerLoadSource = (*Engines)(nil)
 )
 
+// NotifyLoads implements rollout.ServerLoadSource. The engines state no load.
+func (e *Engines) NotifyLoads(rollout.ServerLoadReceiver) {}
+
 // NotifyLimits implements rollout.LimitSource.
 func (e *Engines) NotifyLimits(r rollout.LimitReceiver) {
 	e.mu.Lock()
