--- a/rollout/placement/load.go
+++ b/rollout/placement/load.go
@@ -36,7 +36,7 @@
 	maxExcess    = 8.0
 	// runningWeight is the part of a request that a running one counts as while the
 	// server has free slots: it says that a queue may form until the request arrives.
-	runningWeight = 0.1
+	runningWeight = 0.3
 	// refreshInterval is how often the usual time of work and the zones' round trips are
 	// computed again.
 	refreshInterval = 100 * time.Millisecond
--- a/rollout/spill/spill.go
+++ b/rollout/spill/spill.go
@@ -20,7 +20,7 @@
 	minGainShare = 0.2
 	// riseRate is how fast the share rises, per second. A server's machine is slowed for
 	// some hundred milliseconds at a time, so a slower reaction is too late.
-	riseRate = 6.0
+	riseRate = 10.0
 	// fallRate is how fast the share falls, per second, when leaving brings no gain. It is
 	// lower, because a request that may leave stays if the home zone is the better one at
 	// that moment.
