feed: skip configurations that newer ones replace

25 configurations of 1,400 routes in 1.5 s are up to 6.5 MB for each VM, more than the store sends to all VMs at its rate of bytes; each read would run into its time limit and be repeated.

A read of the operators' topic asks for 64 KiB and so brings one large configuration. If it doesn't reach the end, the follower takes the newest values next and then pauses for 0.25 s.

--- a/lagoonlink/internal/feed/feed.go
+++ b/lagoonlink/internal/feed/feed.go
@@ -23,6 +23,9 @@
 	readWait = 500 * time.Millisecond
 	// retryDelay is the delay after a failed read.
 	retryDelay = 150 * time.Millisecond
+	// behindSpacing is the delay after a snapshot that a follower took because it was
+	// behind, so that it skips values that are replaced meanwhile.
+	behindSpacing = 250 * time.Millisecond
 )
 
 // Follower receives the contents of a feed. Run makes all calls from one
@@ -43,6 +46,10 @@
 	Current func(asOf time.Duration)
 	// Wait is how long a read waits for a change; 0 selects readWait.
 	Wait time.Duration
+	// NewestOnly takes a snapshot when a read did not reach the end of the feed, in place of
+	// reading the changes in between. Where values are large and follow each other quickly,
+	// all VMs together could not read each of them within the store's rate of bytes.
+	NewestOnly bool
 	// Spacing is the minimum time between two reads. It batches many small changes
 	// into one call.
 	Spacing time.Duration
@@ -56,8 +63,11 @@
 		err := r.readOnce(ctx)
 		r.reportStatus(ctx, err)
 		spacing := to.Spacing
-		if err != nil {
+		switch {
+		case err != nil:
 			spacing = retryDelay
+		case r.behind && r.synced:
+			spacing, r.behind = behindSpacing, false
 		}
 		pause.For(ctx, spacing)
 	}
@@ -70,10 +80,12 @@
 	next     rollout.Offset
 	synced   bool
 	failing  bool
+	// behind reports whether the next snapshot is taken because the follower is behind.
+	behind bool
 }
 
-// readOnce reads the feed once. It starts from a snapshot on the first read and
-// after changes were dropped.
+// readOnce reads the feed once. It starts from a snapshot on the first read, after changes
+// were dropped, and when a follower of the newest values is behind.
 func (r *runner[T]) readOnce(ctx context.Context) error {
 	startedAt := uptime.Now()
 	if !r.synced {
@@ -104,6 +116,8 @@
 	}
 	if read.AtEnd {
 		r.reportCurrent(startedAt)
+	} else if r.follower.NewestOnly {
+		r.synced, r.behind = false, true
 	}
 	return nil
 }
--- a/lagoonlink/internal/feed/feed_test.go
+++ b/lagoonlink/internal/feed/feed_test.go
@@ -75,3 +75,25 @@
 	}
 	assert.Equal(t, "wait", f.waits[0], 70*time.Millisecond)
 }
+
+// TestFollowerIsBehind guards against VMs that read every one of several large values which
+// follow each other faster than the store can send them.
+func TestFollowerIsBehind(t *testing.T) {
+	for newestOnly, want := range map[bool][]string{true: {"snapshot", "a", "snapshot", "c"}, false: {"snapshot", "a", "c"}} {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &scriptedFeed{end: cancel, script: []*rollout.Changes[string]{
+			{Changes: []rollout.Change[string]{{Key: "a"}}, Next: 1},
+			{Changes: []rollout.Change[string]{{Key: "c"}}, Next: 3, AtEnd: true},
+		}}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		var calls []string
+		assert.NoError(t, "run", feed.Run(ctx, f, feed.Follower[string]{
+			Name: "f", Logger: event.NewLogger(log), NewestOnly: newestOnly,
+			Reachable: func() {}, Unreachable: func() {},
+			Replace: func([]rollout.Change[string]) { calls = append(calls, "snapshot") },
+			Apply:   func(c []rollout.Change[string]) { calls = append(calls, c[0].Key) },
+		}))
+		assert.Equal(t, "calls", calls, want)
+	}
+}
--- a/lagoonlink/internal/fleet/fleet.go
+++ b/lagoonlink/internal/fleet/fleet.go
@@ -82,7 +82,7 @@
 func (f *Fleet) FollowOperator(ctx context.Context) error {
 	return feed.Run(ctx, f.config.Operator, feed.Follower[rollout.Declared]{
 		Name: "operator", Replace: f.applyDeclared, Apply: f.applyDeclared,
-		Reachable: func() {}, Unreachable: func() {}, Current: f.setCurrent, Wait: f.config.OperatorWait, Logger: f.config.Logger,
+		Reachable: func() {}, Unreachable: func() {}, Current: f.setCurrent, Wait: f.config.OperatorWait, NewestOnly: true, Logger: f.config.Logger,
 	})
 }
 
