platform/hostile: test an entry VM against hostile clients

Clients that do not keep to the limits ended a process: it ran out of memory. The package runs apart from other load in the Makefile.

--- a/Makefile
+++ b/Makefile
@@ -38,9 +38,10 @@
 
 # test does all set-up and runs every check.
 test: build lint specs
-	go test -race -count=1 $$(go list $(PACKAGES) | grep -v -e /integration -e /soak)
+	go test -race -count=1 $$(go list $(PACKAGES) | grep -v -e /integration -e /soak -e /hostile)
 	go test -count=1 -timeout 20m -skip '$(KNOWN_RED)' ./lagoonbench/integration
 	go test -count=1 -timeout 10m ./platform/soak
+	go test -count=1 -timeout 15m ./platform/hostile
 
 # known-red runs the tests that KNOWN-RED.txt lists and test passes over.
 known-red:
