Protect entry VMs on the platform against hostile clients

Request bodies, responses and connections of callers were bounded one by one but not together, so a crowd of clients inside the limits used up a VM's memory.

Package rollout/memory is an account of bytes, derived from limits.memory_mb, with a share for requests up to 64 KiB. platform/front reserves before it reads a body and before it writes a response; lagoonlink/internal/admission holds a lease for each request, closes stalled connections when memory or connections run short, bounds the connections by limits.max_fds and the memory, sets read deadlines on bodies and write deadlines, and keeps the kernel's buffers small. Heads are limited to 24 KiB in place of 64 KiB; the operators' limit is 16 KiB.

--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lagoonlink.org/lagoonlink/internal/admission"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/gateway"
 	"lagoonlink.org/lagoonlink/internal/jobs"
@@ -28,6 +29,7 @@
 	"lagoonlink.org/platform/store"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/httpclient"
+	"lagoonlink.org/rollout/memory"
 )
 
 // Timeouts and sizes of the process on the platform.
@@ -96,8 +98,11 @@
 		Journal: platformStore, Groups: platformStore, Operator: store.OperatorFeed(platformStore), Servers: store.ServerFeed(platformStore),
 		Forwarder: backendClient, Engine: backendClient, Scorer: backendClient, Control: backendClient, Limits: backendClient, Departures: backendClient,
 		NewListener: func(requests *relay.Relay, manager *jobs.Manager, ready func() bool) gateway.Listener {
+			admit := admission.New(admission.Config{
+				Limits: memory.Derive(int64(s.MemoryMB)<<20, s.MaxFDs), IdleTimeout: func() time.Duration { return requests.Limits().IdleTimeout }, Logger: logger, Metrics: scope,
+			})
 			return listener.New(listener.Config{
-				Address: s.Front, Callers: front.New(requests, manager), ReadyAddress: s.Ready, Ready: front.Readiness(ready),
+				Address: s.Front, Callers: front.New(requests, manager, admit), ReadyAddress: s.Ready, Ready: front.Readiness(ready), Admission: admit,
 			})
 		},
 		Terminate: terminate, Hangup: hangup, Reload: reloader(s, platformStore),
--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -125,6 +125,18 @@
 	SettingsReloaded       = define(760, logrus.InfoLevel, "the settings changed, or can't be read", "Restart the VM to apply the settings named in Restart; if Error is set, correct the settings.")
 )
 
+// Events of the protection against clients that use up memory or connections. Each is logged
+// at most once a second; Suppressed counts the occurrences that were not logged since.
+var (
+	MemoryLimits      = define(820, logrus.InfoLevel, "the limits of callers' memory and connections", "None.")
+	MemoryShort       = define(821, logrus.WarnLevel, "there was no memory for a request, which was refused without being run, or for its response; Share names the room that was short", "If the callers are honest, raise limits.memory_mb or add entry VMs; otherwise look at Remote.")
+	RequestOverMemory = define(822, logrus.WarnLevel, "a request was refused without being run, because it needs more memory than this VM ever has for one request", "Raise limits.memory_mb, or lower max_body_bytes.")
+	RequestEvicted    = define(823, logrus.WarnLevel, "the connection of a request whose caller made no progress was closed, because memory was short", "None if the caller is hostile or gone; otherwise raise limits.memory_mb.")
+	BodyStalled       = define(824, logrus.InfoLevel, "a request was abandoned, because nothing of its body arrived for the idle timeout", "Look at the caller in Remote.")
+	ConnectionsFull   = define(825, logrus.WarnLevel, "a connection was closed, because there were too many; it had been without a complete request for longest, or Refused is set and all others had one", "If the callers are honest, raise limits.max_fds and limits.memory_mb or add entry VMs.")
+	ResponseUnread    = define(826, logrus.InfoLevel, "a connection was closed, because its caller received nothing of its response for 10 s", "Look at the caller in Remote.")
+)
+
 // Logger writes events to a logrus logger.
 type Logger struct {
 	log *logrus.Logger
--- a/lagoonlink/internal/listener/listener.go
+++ b/lagoonlink/internal/listener/listener.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"lagoonlink.org/lagoonlink/internal/admission"
 )
 
 // Limits of the servers. Callers that respect the operators' limits do not reach
@@ -21,8 +23,10 @@
 const (
 	headerTimeout = 10 * time.Second
 	// idleTimeout is well above the time for which callers reuse idle connections.
-	idleTimeout    = 120 * time.Second
-	maxHeaderBytes = 64 << 10
+	idleTimeout = 120 * time.Second
+	// maxHeaderBytes is above the operators' limit of 16 KiB, which doesn't count the
+	// request line. The server adds 4 KiB.
+	maxHeaderBytes = 24 << 10
 )
 
 // Config configures the servers.
@@ -32,13 +36,17 @@
 	// ReadyAddress and Ready are for the load balancer's readiness checks.
 	ReadyAddress string
 	Ready        http.Handler
+	// Admission bounds the connections and the memory of callers; nil means no limits.
+	Admission *admission.Controller
 }
 
 // Listener runs the two servers.
 type Listener struct {
-	callers  *http.Server
-	ready    *http.Server
-	draining atomic.Bool
+	callers *http.Server
+	ready   *http.Server
+	// admission is nil if connections are not bounded.
+	admission *admission.Controller
+	draining  atomic.Bool
 	// connections counts the open connections of callers.
 	connections atomic.Int64
 	// stopped is closed when Shutdown or Close has returned.
@@ -54,7 +62,11 @@
 
 // New returns a Listener that is not listening yet.
 func New(c Config) *Listener {
-	l := &Listener{ready: newServer(c.ReadyAddress, c.Ready), stopped: make(chan struct{})}
+	l := &Listener{ready: newServer(c.ReadyAddress, c.Ready), admission: c.Admission, stopped: make(chan struct{})}
+	callers := c.Callers
+	if c.Admission != nil {
+		callers = c.Admission.Handler(callers)
+	}
 	l.callers = newServer(c.Address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if l.draining.Load() {
 			w.Header().Set("Connection", "close")
@@ -64,8 +76,11 @@
 			return
 		}
 		defer l.end()
-		c.Callers.ServeHTTP(w, r)
+		callers.ServeHTTP(w, r)
 	}))
+	if c.Admission != nil {
+		l.callers.ConnContext = c.Admission.ConnContext
+	}
 	l.callers.ConnState = func(_ net.Conn, state http.ConnState) {
 		switch state {
 		case http.StateNew:
@@ -116,11 +131,18 @@
 // Serve serves callers. It returns when Shutdown or Close has returned, or when it
 // can't listen.
 func (l *Listener) Serve(context.Context) error {
-	err := l.callers.ListenAndServe()
+	listening, err := net.Listen("tcp", l.callers.Addr)
+	if err != nil {
+		return err
+	}
+	if l.admission != nil {
+		listening = l.admission.Listener(listening)
+	}
+	err = l.callers.Serve(listening)
 	if !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
-	// ListenAndServe returns as soon as Shutdown begins, while requests are in
+	// Serve returns as soon as Shutdown begins, while requests are in
 	// progress.
 	<-l.stopped
 	return nil
--- a/rollout/routes.go
+++ b/rollout/routes.go
@@ -74,6 +74,9 @@
 type CallerLimits struct {
 	// BodyBytes is the maximum size of a request body in bytes.
 	BodyBytes int
+	// IdleTimeout is the time without progress after which a caller's connection may be
+	// closed; 0 if it is not stated.
+	IdleTimeout time.Duration
 }
 
 // RouteTable is a version of the declared routes and services.
