Keep a part of the memory for medium requests; count only heads as heads

Clients with large bodies could take all of the common share, so that the submissions of trainers were refused. A sixteenth of the account now serves only requests up to 2 MiB.

The server reads the rest of a body that the handler did not read, after the handler has returned. Those bytes were counted as the head of the next request and could close the connection of a refused ordinary request.

--- a/lagoonlink/internal/admission/admission.go
+++ b/lagoonlink/internal/admission/admission.go
@@ -28,6 +28,7 @@
 	retryDelay      = 150 * time.Millisecond
 	reserveAttempts = 4
 	// maxWaiting limits the requests that wait for memory; further ones are refused at once.
+	// Small requests may wait beside as many large ones.
 	maxWaiting = 64
 	// unaccountedShare is the fraction of the account that responses may take in addition to it
 	// while they wait for memory.
@@ -78,7 +79,7 @@
 
 // New returns a Controller and logs its limits.
 func New(c Config) *Controller {
-	c.Logger.Write(event.MemoryLimits, event.Fields{"Bytes": c.Limits.Total, "SmallBytes": c.Limits.Small, "Connections": c.Limits.Connections})
+	c.Logger.Write(event.MemoryLimits, event.Fields{"Bytes": c.Limits.Total, "SmallBytes": c.Limits.Small, "MediumBytes": c.Limits.Medium, "Connections": c.Limits.Connections})
 	return &Controller{
 		config: c, metrics: newMetrics(c.Metrics), account: memory.NewAccount(c.Limits), leases: map[*memory.Holding]*lease{},
 		connections: newRegistry(c.Limits.Connections), logged: map[int]*loggedEvent{},
@@ -212,7 +213,12 @@
 		c.mu.Unlock()
 		return nil
 	}
-	if !mayWait || len(c.waiting) >= maxWaiting {
+	most := maxWaiting
+	if l.holding.Bytes()+n <= memory.SmallRequestBytes {
+		// Large requests can't keep small ones from waiting.
+		most *= 2
+	}
+	if !mayWait || len(c.waiting) >= most {
 		victims := c.account.Evict(&l.holding, n, time.Now().Add(-stallGrace))
 		err := c.refuseLocked(l, n)
 		c.closeAll(victims)
--- a/lagoonlink/internal/admission/conn.go
+++ b/lagoonlink/internal/admission/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -119,9 +120,10 @@
 type conn struct {
 	net.Conn
 	controller *Controller
-	// serving reports whether a request's head has arrived and its response is not complete.
+	// serving reports whether a request's head has arrived and the server doesn't wait for the
+	// next one yet. It may read the rest of a body after the handler has returned.
 	serving atomic.Bool
-	// headBytes counts the bytes read since the last response.
+	// headBytes counts the bytes read since the server began to wait for a request.
 	headBytes atomic.Int64
 
 	// The fields below are guarded by Controller.mu.
@@ -152,8 +154,6 @@
 // endRequest is called with Controller.mu held when the handler of a request has returned.
 func (c *conn) endRequest(widened bool) {
 	c.lease = nil
-	c.headBytes.Store(0)
-	c.serving.Store(false)
 	c.controller.connections.wait(c)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && widened {
 		_ = tcp.SetReadBuffer(readBufferBytes)
@@ -161,6 +161,14 @@
 	}
 }
 
+// ConnState is the ConnState function of the server of the Listener's connections.
+func (c *Controller) ConnState(nc net.Conn, state http.ConnState) {
+	if admitted, ok := nc.(*conn); ok && state == http.StateIdle {
+		admitted.headBytes.Store(0)
+		admitted.serving.Store(false)
+	}
+}
+
 // widen enlarges the kernel's buffer for the body and returns its size in memory.
 func (c *conn) widen() int64 {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/lagoonlink/internal/listener/listener.go
+++ b/lagoonlink/internal/listener/listener.go
@@ -81,7 +81,10 @@
 	if c.Admission != nil {
 		l.callers.ConnContext = c.Admission.ConnContext
 	}
-	l.callers.ConnState = func(_ net.Conn, state http.ConnState) {
+	l.callers.ConnState = func(conn net.Conn, state http.ConnState) {
+		if c.Admission != nil {
+			c.Admission.ConnState(conn, state)
+		}
 		switch state {
 		case http.StateNew:
 			l.connections.Add(1)
--- a/rollout/memory/account.go
+++ b/rollout/memory/account.go
@@ -73,9 +73,22 @@
 	return max(0, a.limits.Total-a.limits.Small-a.connections*ConnectionBytes)
 }
 
+// capacityFor returns the bytes of the common share that may be in use once a holding has the
+// given size.
+func (a *Account) capacityFor(size int64) int64 {
+	if size <= MediumRequestBytes {
+		return a.Capacity(Common)
+	}
+	return max(0, a.Capacity(Common)-a.limits.Medium)
+}
+
 // Fits reports whether a holding of n bytes fits while nothing else is reserved.
 func (a *Account) Fits(n int64) bool {
-	return n <= a.limits.Total-a.limits.Small || n <= min(SmallRequestBytes, a.limits.Small)
+	most := a.limits.Total - a.limits.Small
+	if n > MediumRequestBytes {
+		most -= a.limits.Medium
+	}
+	return n <= most || n <= min(SmallRequestBytes, a.limits.Small)
 }
 
 // Connect records that a connection was opened, Disconnect that one was closed.
@@ -98,7 +111,7 @@
 	if h.share == Small {
 		added = size
 	}
-	if a.used[Common]+added > a.Capacity(Common) {
+	if a.used[Common]+added > a.capacityFor(size) {
 		return false
 	}
 	if h.share == Small {
@@ -156,19 +169,19 @@
 func (a *Account) Evict(h *Holding, n int64, before time.Time) []*Holding {
 	size := h.bytes + n
 	if (h.bytes == 0 || h.share == Small) && size <= SmallRequestBytes {
-		if out := a.evict(Small, h, n, before); len(out) > 0 {
+		if out := a.evict(Small, a.limits.Small, h, n, before); len(out) > 0 {
 			return out
 		}
 	}
 	if h.share == Small {
 		n = size
 	}
-	return a.evict(Common, h, n, before)
+	return a.evict(Common, a.capacityFor(size), h, n, before)
 }
 
-func (a *Account) evict(s Share, except *Holding, n int64, before time.Time) []*Holding {
+func (a *Account) evict(s Share, capacity int64, except *Holding, n int64, before time.Time) []*Holding {
 	var out []*Holding
-	missing := a.used[s] + n - a.Capacity(s)
+	missing := a.used[s] + n - capacity
 	for e := a.order.Front(); e != nil && missing > 0; e = e.Next() {
 		h := e.Value.(*Holding)
 		if !h.progress.Before(before) {
--- a/rollout/memory/limits.go
+++ b/rollout/memory/limits.go
@@ -9,6 +9,9 @@
 	// SmallRequestBytes is the largest size of a request that may use the share of small
 	// requests.
 	SmallRequestBytes = 64 << 10
+	// MediumRequestBytes is the largest size of a request that may use the last part of the
+	// common share. The submission of a job of 300 KB takes some 1.7 MB.
+	MediumRequestBytes = 2 << 20
 	// ConnectionBytes is charged for each connection: the stack of its goroutine, its
 	// buffers and a header of ordinary size.
 	ConnectionBytes = 16 << 10
@@ -28,6 +31,8 @@
 	accountShare = 0.52
 	// smallShare is the fraction of the account that only small requests may use.
 	smallShare = 0.125
+	// mediumShare is the fraction that requests over MediumRequestBytes may not use.
+	mediumShare = 0.0625
 	// connectionShare is the fraction of the account that bounds the connections.
 	connectionShare = 0.2
 	// descriptorShare is the fraction of the descriptors for sockets that callers'
@@ -40,8 +45,9 @@
 
 // Limits bounds an account. All sizes are in bytes.
 type Limits struct {
-	// Total is the size of the account, Small the part that only small requests may use.
-	Total, Small int64
+	// Total is the size of the account, Small the part that only small requests may use, and
+	// Medium the part of the rest that only requests up to MediumRequestBytes may use.
+	Total, Small, Medium int64
 	// Connections is the largest number of callers' connections.
 	Connections int
 }
@@ -50,7 +56,7 @@
 // descriptors, or 0 descriptors if their number is unknown.
 func Derive(memoryBytes int64, descriptors int) Limits {
 	total := max(minTotalBytes, int64(accountShare*float64(memoryBytes))-baseBytes)
-	l := Limits{Total: total, Small: int64(smallShare * float64(total)), Connections: int(connectionShare * float64(total) / ConnectionBytes)}
+	l := Limits{Total: total, Small: int64(smallShare * float64(total)), Medium: int64(mediumShare * float64(total)), Connections: int(connectionShare * float64(total) / ConnectionBytes)}
 	if descriptors > 0 {
 		l.Connections = min(l.Connections, int(descriptorShare*float64(descriptors-fileDescriptors)))
 	}
