review: check a platform configuration before it is sent

Cause: faults of a configuration in the platform's form, such as an undeclared service or a key of two tenants, showed only when requests were refused.

`lagoonlink check-platform FILE [--against FILE] [--json]` prints both.

--- a/lagoonlink/internal/cmd/cmd.go
+++ b/lagoonlink/internal/cmd/cmd.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -20,18 +21,29 @@
 const (
 	exitOK     = 0
 	exitFailed = 1
+	// exitUnreadable is the exit code of check-platform for a file that it can't check.
+	exitUnreadable = 2
 )
 
 // Main runs the command line and returns the exit code.
 func Main(arguments []string) int {
-	if err := command(os.Stdout).Run(context.Background(), arguments); err != nil {
-		fmt.Fprintln(os.Stderr, "lagoonlink:", err)
-		return exitFailed
+	return run(arguments, os.Stdin, os.Stdout, os.Stderr)
+}
+
+func run(arguments []string, in io.Reader, out, errOut io.Writer) int {
+	err := command(in, out).Run(context.Background(), arguments)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(errOut, "lagoonlink:", err)
+	var exit exitError
+	if errors.As(err, &exit) {
+		return exit.code
 	}
-	return exitOK
+	return exitFailed
 }
 
-func command(out io.Writer) *cli.Command {
+func command(in io.Reader, out io.Writer) *cli.Command {
 	settingsFlags := []cli.Flag{
 		&cli.StringFlag{Name: "settings", Usage: "settings `FILE` in YAML"},
 		&cli.StringSliceFlag{Name: "set", Usage: "override one setting, as `Path=Value`"},
@@ -60,6 +72,7 @@
 				}, settingsFlags...),
 				Action: func(_ context.Context, c *cli.Command) error { return check(out, c) },
 			},
+			reviewCommand(in, out),
 			{
 				Name:   "version",
 				Usage:  "print the program's version",
