--- a/rollout/job/record.go
+++ b/rollout/job/record.go
@@ -62,6 +62,27 @@
 	Scorer *Scorer `cbor:",omitempty"`
 }
 
+// Memory of a sample until its job is stored.
+const (
+	// sampleBytes is the memory of a sample or of a header field besides its texts.
+	sampleBytes = 512
+	// textCopies is the number of copies of its texts: decoded, encoded into a growing buffer,
+	// and in the call to the store.
+	textCopies = 5
+)
+
+// MemoryBytes returns the memory that the sample takes until its job is stored.
+func (s *Sample) MemoryBytes() int {
+	n := sampleBytes + textCopies*(len(s.ID)+len(s.Path)+len(s.Body))
+	for _, f := range s.Header {
+		n += sampleBytes + textCopies*(len(f.Name)+len(f.Value))
+	}
+	if s.Scorer != nil {
+		n += sampleBytes + textCopies*len(s.Scorer.Body)
+	}
+	return n
+}
+
 // Scorer is the request to a plain service that scores the text of a sample. It is
 // sent through the route of its host and path and may run more than once.
 type Scorer struct {
--- a/rollout/serverload.go
+++ b/rollout/serverload.go
@@ -14,6 +14,21 @@
 	At time.Time
 }
 
+// Largest and smallest figures of a server's load that are believed.
+const (
+	maxLoadSlots   = 1024
+	maxLoadWaiting = 100_000
+	minPace        = 10
+	maxPace        = 10_000
+)
+
+// Possible reports whether the figures can be true.
+func (l ServerLoad) Possible() bool {
+	// The comparisons of the pace are false if it is not a number.
+	return l.Slots > 0 && l.Slots <= maxLoadSlots && l.Running >= 0 && l.Running <= l.Slots &&
+		l.Waiting >= 0 && l.Waiting <= maxLoadWaiting && l.Pace >= minPace && l.Pace <= maxPace
+}
+
 // ServerLoadReceiver receives the load that servers state in responses. Its method must
 // not block.
 type ServerLoadReceiver interface {
