scaler: order servers for services that permit it

Cause: a service may have more servers while steps need them, and cheaper ones that the platform may reclaim; nobody orders any. Change: the platform's entries scaling, spot and leaves_ms are decoded; one that can't be read keeps neither its configuration nor its server from being used. rollout/scaling decides, task scaler sends the orders through the duty. The record of an accepted job states its deadline, which older programs ignore. Plain services get no orders, because no VM knows their load. Purity test: one more package.

--- a/lagoonlink/internal/fleet/fleet.go
+++ b/lagoonlink/internal/fleet/fleet.go
@@ -191,7 +191,7 @@
 
 func sameServer(a, b rollout.RegisteredServer) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Leaving == b.Leaving && a.Slots == b.Slots &&
-		a.Service == b.Service && a.Incarnation == b.Incarnation && a.Software == b.Software
+		a.Service == b.Service && a.Incarnation == b.Incarnation && a.Software == b.Software && a.Reclaimable == b.Reclaimable
 }
 
 // maxLoggedServers limits the names in each list of a log line.
--- a/lagoonlink/internal/gateway/duties_test.go
+++ b/lagoonlink/internal/gateway/duties_test.go
@@ -75,3 +75,37 @@
 		assert.True(t, what+" has no lower token", f.tokens[i].Number >= f.tokens[i-1].Number)
 	}
 }
+
+// Servers must be ordered for work that those present can't do in time, and only for the
+// service whose configuration permits it.
+func TestServersOrdered(t *testing.T) {
+	f := &fakeCloud{}
+	d := deploy(t, 200, 20*time.Millisecond)
+	d.duties = gateway.Duties{Cloud: f, OrdersServers: true, Rate: 50}
+	d.operator.Put(rollout.Change[rollout.Declared]{Key: "config", Value: rollout.Declared{Table: &rollout.RouteTable{
+		Version: 2,
+		Routes: []rollout.Route{
+			{Name: "r", Host: "a.example", Prefix: "/p/", Kind: rollout.RouteJobs, Splits: []rollout.Split{{Service: "pool"}}, MaxAttempts: 3},
+		},
+		Services: []rollout.RoutedService{
+			{Name: "pool", Models: []rollout.ModelName{model}, Slots: 4, Scaling: &rollout.Scaling{Min: 1, Max: 40, Boot: 4 * time.Second, ZonePrices: map[rollout.Zone]float64{"z": 1}}},
+			{Name: "scores", Slots: 6},
+		},
+	}}})
+	d.start("a")
+	d.submit(t, "a", newJob("j1", 400, 1))
+	for end := time.Now().Add(testTimeout); ; time.Sleep(20 * time.Millisecond) {
+		f.mu.Lock()
+		orders := f.orders
+		f.mu.Unlock()
+		for _, o := range orders {
+			assert.Equal(t, "service", o.Service, "pool")
+		}
+		if len(orders) > 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("timeout: an order")
+		}
+	}
+}
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/lagoonlink/internal/quotas"
 	"lagoonlink.org/lagoonlink/internal/relay"
+	"lagoonlink.org/lagoonlink/internal/scaler"
 	"lagoonlink.org/lagoonlink/internal/suspicions"
 	"lagoonlink.org/lagoonlink/internal/swaps"
 	"lagoonlink.org/lagoonlink/internal/usage"
@@ -165,9 +166,10 @@
 	quotas     *quotas.Tracker
 	origins    *origins.Registry
 	suspicions *suspicions.Syncer
-	// duties and usage are nil if there are no calls of their kind.
+	// duties, usage and scaler are nil if there are no calls of their kind.
 	duties   *duties.Holder
 	usage    *usage.Tracker
+	scaler   *scaler.Scaler
 	listener Listener
 	stopping chan struct{}
 }
@@ -235,6 +237,9 @@
 		VM: c.VM, Incarnation: incarnation, Journal: c.Journal, Cloud: d.Cloud, IsCandidate: g.manager.IssuesOrders, Lease: c.OrderLease, ChecksFence: c.ChecksFence,
 		Rate: d.Rate, ReportsUsage: d.ReportsUsage, Window: d.Window, Late: d.Late, Logger: c.Logger, Metrics: c.Metrics,
 	})
+	if d.OrdersServers {
+		g.scaler = scaler.New(scaler.Config{Orders: g.duties, Services: g.fleet.ScaledServices, Work: g.manager.OpenWork, Logger: c.Logger})
+	}
 }
 
 // ready reports whether the load balancer may send new connections.
@@ -282,6 +287,9 @@
 	if g.usage != nil {
 		tasksByName["usage"] = g.usage.Run
 	}
+	if g.scaler != nil {
+		tasksByName["scaler"] = g.scaler.Run
+	}
 	for name, task := range tasksByName {
 		tasks.Add(func() error {
 			defer func() {
--- a/rollout/job/record.go
+++ b/rollout/job/record.go
@@ -101,13 +101,16 @@
 	At time.Time
 	// Submission is the location of the encoded submission in the journal.
 	Submission Location
+	// Deadline is the time after acceptance by which the results are due, copied from the
+	// submission, or 0 if it isn't known.
+	Deadline time.Duration `cbor:",omitempty"`
 }
 
 // Accept returns the acceptance record of a submission that is stored at the
 // given location.
 func (s *Submission) Accept(location Location) *Accepted {
 	return &Accepted{
-		ID: s.ID, Host: s.Host, Model: s.Model, MinVersion: s.MinVersion, Total: len(s.Samples), At: s.At, Submission: location,
+		ID: s.ID, Host: s.Host, Model: s.Model, MinVersion: s.MinVersion, Total: len(s.Samples), At: s.At, Submission: location, Deadline: s.Deadline,
 	}
 }
 
--- a/rollout/purity_test.go
+++ b/rollout/purity_test.go
@@ -15,7 +15,7 @@
 )
 
 // purePackages contain decision logic and must not use I/O, clocks or goroutines.
-var purePackages = []string{"sample", "fair", "placement", "request", "membership", "weights", "configuration", "lifecycle", "routing", "registry", "job", "candidacy", "scoring", "quota", "origin", "duty", "usage"}
+var purePackages = []string{"sample", "fair", "placement", "request", "membership", "weights", "configuration", "lifecycle", "routing", "registry", "job", "candidacy", "scoring", "quota", "origin", "duty", "usage", "scaling"}
 
 // impureImports are packages for I/O and synchronization that pure packages must
 // not import.
--- a/rollout/routes.go
+++ b/rollout/routes.go
@@ -68,6 +68,21 @@
 	Slots int
 	// Models lists the served models; it is set if the servers are model engines.
 	Models []ModelName
+	// Scaling is set if the number of servers may be changed.
+	Scaling *Scaling
+}
+
+// Scaling states how many servers of a service may be ordered, and what they cost.
+type Scaling struct {
+	// Min and Max limit the servers of each zone, of both kinds together.
+	Min, Max int
+	// Boot is the time from an order until a new server serves.
+	Boot time.Duration
+	// SpotPrice is the price of a reclaimable server as a multiple of that of another one
+	// in its zone.
+	SpotPrice float64
+	// ZonePrices holds the price of a server in each zone.
+	ZonePrices map[Zone]float64
 }
 
 // CallerLimits limits the requests of callers.
@@ -106,6 +121,11 @@
 	// Incarnation is when the server started, in Unix milliseconds by its own clock, or 0
 	// if it doesn't say.
 	Incarnation int64
+	// Reclaimable reports whether the platform may take the server back at short notice.
+	Reclaimable bool
+	// LeavesIn is the time from the entry until a server that is leaving is gone, or 0 if
+	// it isn't known.
+	LeavesIn time.Duration
 	// Versions holds the loaded weight version of each model of a model engine.
 	Versions map[ModelName]WeightVersion
 }
