duties: keep the usage counts while refused tokens are replaced

Cause: the sum of usage records was begun again with every claim, so with orders refused again and again the first usage record to read stayed where it was and each report read more. Change: it is begun again only after another holder's record or a trim. A rate below one call a second counts as one. Result: go test -race ./lagoonlink/internal/duties passes; its new TestUsageWhileRefused fails with the sum begun again at each claim.

--- a/lagoonlink/internal/duties/calls.go
+++ b/lagoonlink/internal/duties/calls.go
@@ -15,6 +15,8 @@
 	// rateShare is the share of the platform's rate of calls that this VM uses at most. It
 	// is less than a half because a holder that was just replaced may have used the rest.
 	rateShare = 0.4
+	// minRate replaces lower rates, at which no report would be sent in time.
+	minRate = 1
 )
 
 // callLimit returns the time limit of a call. A call is only started if it ends before the
--- a/lagoonlink/internal/duties/duties.go
+++ b/lagoonlink/internal/duties/duties.go
@@ -91,10 +91,14 @@
 	if c.WallTime == nil {
 		c.WallTime = time.Now
 	}
-	return &Holder{
-		config: c, timing: usage.NewTiming(c.Late), startedAt: c.WallTime(), readAt: -readInterval,
-		state: duty.NewState(duty.Process{VM: c.VM, Incarnation: c.Incarnation}, c.Lease),
-	}
+	c.Rate = max(c.Rate, minRate)
+	h := &Holder{config: c, timing: usage.NewTiming(c.Late), startedAt: c.WallTime(), readAt: -readInterval}
+	h.state = duty.NewState(h.self(), c.Lease)
+	return h
+}
+
+func (h *Holder) self() duty.Process {
+	return duty.Process{VM: h.config.VM, Incarnation: h.config.Incarnation}
 }
 
 // Run keeps the hold and sends the reports until the context ends. It always returns nil.
@@ -203,13 +207,7 @@
 	if err := h.setOrigin(ctx); err != nil {
 		return err
 	}
-	if err := h.append(ctx, action, nil, 0); err != nil {
-		return err
-	}
-	if !held {
-		h.reports = nil
-	}
-	return nil
+	return h.append(ctx, action, nil, 0)
 }
 
 func (h *Holder) storeTimeout() time.Duration { return h.config.Lease / timeoutsPerLease }
@@ -229,6 +227,7 @@
 				first = trimmed.First
 			}
 			h.withState(func(s *duty.State) { s.SkipTo(first, h.config.Now()) })
+			h.reports = nil
 			continue
 		}
 		if err != nil {
@@ -253,6 +252,10 @@
 	if err != nil {
 		h.config.Logger.Write(event.RecordUnreadable, event.Fields{"Feed": partition, "Key": e.Offset, "Error": err})
 	}
+	if err != nil || r.Holder != h.self() {
+		// Another holder may have fixed reports.
+		h.reports = nil
+	}
 	h.withState(func(s *duty.State) {
 		if err != nil {
 			s.SkipInvalid(e.Offset, h.config.Now())
--- a/lagoonlink/internal/duties/duties_test.go
+++ b/lagoonlink/internal/duties/duties_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -365,3 +366,29 @@
 	_, sent = a.OrderServers(t.Context(), order)
 	assert.True(t, "a call with a new token", sent && s.cloud.calls[1].token > s.cloud.calls[0].token)
 }
+
+// While orders are refused again and again, the VM claims again and again. It must not
+// begin to add the usage records from further and further back.
+func TestUsageWhileRefused(t *testing.T) {
+	s := newSite(t)
+	a := s.newVM("a")
+	for n := range uint64(6) {
+		s.count("c", n, 1000+n, map[string]int{"x": 2})
+		for range 5 {
+			s.run(time.Second, a)
+			s.cloud.outcomes = []rollout.DutyOutcome{rollout.DutyUnavailable}
+			a.OrderServers(t.Context(), rollout.ServerOrder{Service: "s", Zone: "z"})
+			s.cloud.outcomes = nil
+		}
+	}
+	assert.True(t, "the first usage record to read moves on", a.state.UsageFrom() >= 3)
+	reported := 0
+	for _, body := range s.cloud.bodies() {
+		if window, counts, ok := strings.Cut(body, " "); ok && window < "1005" {
+			assert.Equal(t, "counts of "+window, counts, "map[x:2]")
+			reported++
+		}
+	}
+	assert.Equal(t, "reports", reported, 5)
+	s.checkCalls()
+}
