scaler: order servers of plain services by their load

Cause: plain services with scaling got no orders, because no VM knew the requests of all VMs; reclaimed servers would not have been replaced. Change: where servers are ordered, each VM measures the time that requests spend at servers of such services and states it in its usage records. The holder adds it up with the counts, also where no usage is reported.

--- a/lagoonlink/internal/duties/duties.go
+++ b/lagoonlink/internal/duties/duties.go
@@ -55,6 +55,8 @@
 	// is due Late after its window's end.
 	ReportsUsage bool
 	Window, Late time.Duration
+	// ReadsLoad reports whether the load of services is needed.
+	ReadsLoad bool
 	// Now reads a clock that also runs while the VM is suspended; WallTime reads the time
 	// of day. If they are nil, those of the system are used.
 	Now      func() time.Duration
@@ -73,6 +75,9 @@
 	state *duty.State
 	// lastCall is when the last call was started.
 	lastCall time.Duration
+	// load is the load of each service in the window that was added up at loadAt.
+	load   map[rollout.ServiceName]float64
+	loadAt time.Duration
 
 	// The following fields are only used by the task that keeps the hold.
 	reports *reports
@@ -151,6 +156,8 @@
 	err := h.keep(ctx)
 	if _, _, held := h.held(); held && err == nil && h.config.ReportsUsage {
 		err = h.fixReports(ctx)
+	} else if held && err == nil && h.config.ReadsLoad {
+		err = h.readLoad(ctx)
 	}
 	var mismatch *rollout.OffsetMismatchError
 	if err != nil && !h.failing && ctx.Err() == nil && !errors.As(err, &mismatch) {
--- a/lagoonlink/internal/duties/duties_test.go
+++ b/lagoonlink/internal/duties/duties_test.go
@@ -392,3 +392,31 @@
 	assert.Equal(t, "reports", reported, 5)
 	s.checkCalls()
 }
+
+// The load must be known with and without reports, only for windows of which all records
+// were read, and not for long after the last of them.
+func TestLoad(t *testing.T) {
+	for name, reports := range map[string]bool{"with reports": true, "without reports": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			a := s.newVM("a")
+			a.config.ReportsUsage, a.config.ReadsLoad = reports, true
+			s.run(window, a)
+			for n := range uint64(2) {
+				_, known := a.Load()
+				assert.True(t, "not known too early", !known || !reports)
+				data, err := usage.Encode(usage.Record{VM: "c", Incarnation: "1", Sequence: n, Window: 1000 + n, Busy: map[rollout.ServiceName]float64{"s": 10}})
+				assert.NoError(t, "encode", err)
+				_, err = s.store.ForVM("c").Append(t.Context(), usagePartition, [][]byte{data})
+				assert.NoError(t, "append", err)
+				s.run(window, a)
+			}
+			load, known := a.Load()
+			assert.Equal(t, "load", []any{load["s"], known}, []any{2.0, true})
+			a.candidate = false
+			s.run(maxLoadWindows*window, a)
+			_, known = a.Load()
+			assert.True(t, "not known later", !known)
+		})
+	}
+}
--- a/lagoonlink/internal/duties/reports.go
+++ b/lagoonlink/internal/duties/reports.go
@@ -79,6 +79,7 @@
 		return nil
 	}
 	report := h.reports.fold.Report(window)
+	h.setLoad(window)
 	if err := h.append(ctx, duty.Renew, &report, h.reports.before(usage.EndOf(window, h.config.Window).Add(-clockSkew))); err != nil {
 		return err
 	}
@@ -91,6 +92,52 @@
 	return nil
 }
 
+// readLoad adds up the load of services while no usage is reported.
+func (h *Holder) readLoad(ctx context.Context) error {
+	ended := usage.WindowAt(h.config.WallTime().Add(-h.timing.Fix), h.config.Window) - 1
+	if h.reports == nil {
+		next, err := h.endOfUsage(ctx)
+		if err != nil {
+			return err
+		}
+		h.reports = &reports{fold: usage.NewFold(ended), next: next}
+	}
+	// Records of the next window may have been there already, so its load is not known.
+	if ended <= h.reports.fold.Fixed() {
+		return nil
+	}
+	if err := h.readUsage(ctx); err != nil {
+		return err
+	}
+	h.setLoad(ended)
+	h.reports.fold.Fix(ended)
+	return nil
+}
+
+// setLoad sets the load of services to that of a window, unless its records may be missing
+// because this VM began to read later.
+func (h *Holder) setLoad(window uint64) {
+	if !h.config.ReadsLoad || window <= h.reports.fold.Origin()+1 {
+		return
+	}
+	load := h.reports.fold.Load(window, h.config.Window)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.load, h.loadAt = load, h.config.Now()
+}
+
+// maxLoadWindows is the number of windows after which a load is no longer used.
+const maxLoadWindows = 3
+
+// Load returns the mean number of requests at the servers of each service, or false if it
+// isn't known.
+func (h *Holder) Load() (load map[rollout.ServiceName]float64, known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known = h.load != nil && h.config.Now()-h.loadAt < maxLoadWindows*h.config.Window
+	return h.load, known
+}
+
 // before returns how far the usage records had been read before a time, or 0 if that isn't
 // known. Records of a window that starts later than that follow.
 func (r *reports) before(at time.Time) rollout.Offset {
--- a/lagoonlink/internal/fleet/scaled.go
+++ b/lagoonlink/internal/fleet/scaled.go
@@ -61,3 +61,16 @@
 	}
 	return out
 }
+
+// ServiceOf returns the service of a registered server, if its number of servers may be
+// changed.
+func (f *Fleet) ServiceOf(name rollout.ServerName) (rollout.ServiceName, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.registry.Find(name)
+	if !ok || f.table == nil {
+		return "", false
+	}
+	service := f.table.Services()[s.Service]
+	return s.Service, service.Scaling != nil
+}
--- a/lagoonlink/internal/gateway/duties_test.go
+++ b/lagoonlink/internal/gateway/duties_test.go
@@ -81,7 +81,7 @@
 func TestServersOrdered(t *testing.T) {
 	f := &fakeCloud{}
 	d := deploy(t, 200, 20*time.Millisecond)
-	d.duties = gateway.Duties{Cloud: f, OrdersServers: true, Rate: 50}
+	d.duties = gateway.Duties{Cloud: f, OrdersServers: true, Rate: 50, Window: time.Second, Late: 5 * time.Second}
 	d.operator.Put(rollout.Change[rollout.Declared]{Key: "config", Value: rollout.Declared{Table: &rollout.RouteTable{
 		Version: 2,
 		Routes: []rollout.Route{
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -167,11 +167,13 @@
 	origins    *origins.Registry
 	suspicions *suspicions.Syncer
 	// duties, usage and scaler are nil if there are no calls of their kind.
-	duties   *duties.Holder
-	usage    *usage.Tracker
-	scaler   *scaler.Scaler
-	listener Listener
-	stopping chan struct{}
+	duties *duties.Holder
+	usage  *usage.Tracker
+	scaler *scaler.Scaler
+	// incarnation identifies this process in the records of these tasks.
+	incarnation string
+	listener    Listener
+	stopping    chan struct{}
 }
 
 // New returns an entry VM that is not running yet.
@@ -192,7 +194,8 @@
 	c.Limits.NotifyLimits(g.quotas)
 	g.fleet = fleet.New(fleet.Config{Operator: c.Operator, Servers: c.Servers, InForce: inForce, Dispatch: g.dispatch, ChecksFence: c.ChecksFence, Logger: c.Logger})
 	c.Departures.NotifyLeaving(g.fleet)
-	gate := departure.New(departure.Config{Servers: g.fleet, Forwarder: c.Forwarder, Engine: c.Engine, Scorer: c.Scorer})
+	forwarder, scorer := g.newUsage()
+	gate := departure.New(departure.Config{Servers: g.fleet, Forwarder: forwarder, Engine: c.Engine, Scorer: scorer})
 	g.owner = ownership.New(ownership.Config{
 		VM: c.VM, Groups: c.Groups, Group: runnerGroup, Topics: []string{job.TopicIndex}, Lease: time.Duration(leaseMultiple * float64(c.MinMembershipLease)),
 		Candidate: candidacy.Candidate{Capacity: c.Capacity, Partitions: c.Partitions}, Logger: c.Logger,
@@ -211,7 +214,7 @@
 	relayConfig := relay.Config{
 		InForce: inForce, Dispatch: g.dispatch, Forwarder: gate, Origins: g.origins, Incarnations: incarnations, Logger: c.Logger, Metrics: c.Metrics,
 	}
-	if g.usage != nil {
+	if g.usage != nil && c.Duties.ReportsUsage {
 		relayConfig.Usage = g.usage
 	}
 	requests := relay.New(relayConfig)
@@ -219,6 +222,25 @@
 	return g
 }
 
+// newUsage creates the task that counts requests, if singleton calls are made. It returns
+// the clients with which requests are sent.
+func (g *Gateway) newUsage() (rollout.Forwarder, rollout.SampleScorer) {
+	c, d := g.config, g.config.Duties
+	if !d.enabled() {
+		return c.Forwarder, c.Scorer
+	}
+	// The number identifies this process among those of VMs with the same name.
+	g.incarnation = strconv.FormatUint(rand.Uint64(), 36)
+	g.usage = usage.New(usage.Config{
+		VM: c.VM, Incarnation: g.incarnation, Journal: c.Journal, Window: d.Window, Late: d.Late, Logger: c.Logger, Metrics: c.Metrics,
+	})
+	if !d.OrdersServers {
+		return c.Forwarder, c.Scorer
+	}
+	m := usage.NewMeter(usage.MeterConfig{Forwarder: c.Forwarder, Scorer: c.Scorer, ServiceOf: g.fleet.ServiceOf, Busy: g.usage.ServiceBusy})
+	return m, m
+}
+
 // newDuties creates the tasks for calls that only one VM may make at a time, if there are
 // such calls.
 func (g *Gateway) newDuties() {
@@ -226,16 +248,9 @@
 	if !d.enabled() {
 		return
 	}
-	// The number identifies this process among those of VMs with the same name.
-	incarnation := strconv.FormatUint(rand.Uint64(), 36)
-	if d.ReportsUsage {
-		g.usage = usage.New(usage.Config{
-			VM: c.VM, Incarnation: incarnation, Journal: c.Journal, Window: d.Window, Late: d.Late, Logger: c.Logger, Metrics: c.Metrics,
-		})
-	}
 	g.duties = duties.New(duties.Config{
-		VM: c.VM, Incarnation: incarnation, Journal: c.Journal, Cloud: d.Cloud, IsCandidate: g.manager.IssuesOrders, Lease: c.OrderLease, ChecksFence: c.ChecksFence,
-		Rate: d.Rate, ReportsUsage: d.ReportsUsage, Window: d.Window, Late: d.Late, Logger: c.Logger, Metrics: c.Metrics,
+		VM: c.VM, Incarnation: g.incarnation, Journal: c.Journal, Cloud: d.Cloud, IsCandidate: g.manager.IssuesOrders, Lease: c.OrderLease, ChecksFence: c.ChecksFence,
+		Rate: d.Rate, ReportsUsage: d.ReportsUsage, ReadsLoad: d.OrdersServers, Window: d.Window, Late: d.Late, Logger: c.Logger, Metrics: c.Metrics,
 	})
 	if d.OrdersServers {
 		g.scaler = scaler.New(scaler.Config{Orders: g.duties, Services: g.fleet.ScaledServices, Work: g.manager.OpenWork, Logger: c.Logger})
--- a/lagoonlink/internal/scaler/scaler.go
+++ b/lagoonlink/internal/scaler/scaler.go
@@ -30,6 +30,9 @@
 // Orders sends orders while this VM holds the duty.
 type Orders interface {
 	Held() bool
+	// Load returns the mean number of requests at the servers of each service, or false if
+	// it isn't known.
+	Load() (load map[rollout.ServiceName]float64, known bool)
 	OrderServers(ctx context.Context, o rollout.ServerOrder) (outcome rollout.DutyOutcome, sent bool)
 }
 
@@ -81,9 +84,10 @@
 	}
 	s.heldAt = now
 	work := s.config.Work()
+	load, loadKnown := s.config.Orders.Load()
 	for _, service := range s.config.Services() {
-		// The load of plain services is not known here; their servers are left as they are.
-		if !service.Engines {
+		// Without the load of a plain service its servers are left as they are.
+		if !service.Engines && !loadKnown {
 			continue
 		}
 		p := s.planners[service.Name]
@@ -93,7 +97,7 @@
 		}
 		w := work[rollout.PoolName(service.Name)]
 		in := scaling.Input{
-			Scaling: service.Scaling, Zones: service.Zones, Slots: service.Slots, Present: service.Present, Work: w.Jobs, Results: w.Results,
+			Scaling: service.Scaling, Zones: service.Zones, Slots: service.Slots, Present: service.Present, Work: w.Jobs, Results: w.Results, Load: load[service.Name],
 		}
 		orders := p.Decide(now, in)
 		if now.Before(s.retryAt) {
@@ -124,7 +128,7 @@
 	}
 	s.config.Logger.Write(event.ServersOrdered, event.Fields{
 		"Service": name, "Zone": o.Zone, "Reclaimable": o.Reclaimable, "Count": o.Count, "Present": in.Present[o.Kind], "Outcome": outcome.String(),
-		"Jobs": len(in.Work), "Samples": samples, "Took": p.Took().Seconds(), "Needed": p.Needed(now, in), "Slots": in.Slots,
+		"Jobs": len(in.Work), "Samples": samples, "Took": p.Took().Seconds(), "Load": in.Load, "Needed": p.Needed(now, in), "Slots": in.Slots,
 	})
 	switch outcome {
 	case rollout.DutyAccepted, rollout.DutyUnavailable:
--- a/lagoonlink/internal/scaler/scaler_test.go
+++ b/lagoonlink/internal/scaler/scaler_test.go
@@ -21,8 +21,11 @@
 	held    bool
 	orders  []rollout.ServerOrder
 	outcome rollout.DutyOutcome
+	load    map[rollout.ServiceName]float64
 }
 
+func (f *fakeOrders) Load() (map[rollout.ServiceName]float64, bool) { return f.load, f.load != nil }
+
 func (f *fakeOrders) Held() bool { return f.held }
 
 func (f *fakeOrders) OrderServers(_ context.Context, o rollout.ServerOrder) (rollout.DutyOutcome, bool) {
@@ -57,11 +60,11 @@
 		outcome       rollout.DutyOutcome
 		orders        int
 	}{
-		"the holder":                   {true, true, rollout.DutyAccepted, 1},
-		"another VM":                   {false, true, rollout.DutyAccepted, 0},
-		"a plain service":              {true, false, rollout.DutyAccepted, 0},
-		"a refusal is not repeated":    {true, true, rollout.DutyUnavailable, 1},
-		"no response, repeated in 1 s": {true, true, rollout.DutyUnknown, 2},
+		"the holder":                    {true, true, rollout.DutyAccepted, 1},
+		"another VM":                    {false, true, rollout.DutyAccepted, 0},
+		"a plain service, load unknown": {true, false, rollout.DutyAccepted, 0},
+		"a refusal is not repeated":     {true, true, rollout.DutyUnavailable, 1},
+		"no response, repeated in 1 s":  {true, true, rollout.DutyUnknown, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakeOrders{held: c.held, outcome: c.outcome}
@@ -77,6 +80,16 @@
 	}
 }
 
+// Servers of a plain service are ordered by its load.
+func TestPlainService(t *testing.T) {
+	f := &fakeOrders{held: true, outcome: rollout.DutyAccepted, load: map[rollout.ServiceName]float64{"s": 9}}
+	s := newScaler(f, false)
+	s.config.Work = func() map[rollout.PoolName]jobs.PoolWork { return nil }
+	s.decide(t.Context(), time.Unix(0, 0))
+	// 9 requests and their square root need 12 slots.
+	assert.Equal(t, "orders", f.orders, []rollout.ServerOrder{{Service: "s", Zone: "z", Count: 2}})
+}
+
 // A VM that lost the duty for long must forget its orders, because another VM may have
 // sent others.
 func TestDutyLost(t *testing.T) {
--- a/lagoonlink/internal/usage/usage.go
+++ b/lagoonlink/internal/usage/usage.go
@@ -73,6 +73,13 @@
 	t.counter.Add(tenant, request, at)
 }
 
+// ServiceBusy adds the time that a request which ends now spent at a server of a service.
+func (t *Tracker) ServiceBusy(s rollout.ServiceName, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counter.AddBusy(s, took, time.Now())
+}
+
 // Run stores the counts until the context ends, and then all that are left. It always
 // returns nil.
 func (t *Tracker) Run(ctx context.Context) error {
@@ -102,7 +109,7 @@
 	for _, w := range taken {
 		t.sequence++
 		t.pending = append(t.pending, usage.Record{
-			VM: t.config.VM, Incarnation: t.config.Incarnation, Sequence: t.sequence, Window: w.Window, Counts: w.Counts,
+			VM: t.config.VM, Incarnation: t.config.Incarnation, Sequence: t.sequence, Window: w.Window, Counts: w.Counts, Busy: w.Busy,
 		})
 	}
 }
--- a/rollout/usage/usage.go
+++ b/rollout/usage/usage.go
@@ -24,6 +24,9 @@
 // 1,000 requests a second.
 const maxRemembered = 20000
 
+// maxBusy limits the seconds of a record: 1,000 requests for 1,000 s.
+const maxBusy = 1e6
+
 // rememberedWindows is the number of windows for which a request that was counted is
 // remembered.
 const rememberedWindows = 6
@@ -71,6 +74,8 @@
 	Sequence    uint64
 	Window      uint64
 	Counts      map[string]int
+	// Busy is the time in seconds that requests spent at the servers of each service.
+	Busy map[rollout.ServiceName]float64 `cbor:",omitempty"`
 }
 
 // Encode encodes a record with the current schema version.
@@ -94,6 +99,11 @@
 			return Record{}, fmt.Errorf("usage record: got count %d of tenant %q", n, tenant)
 		}
 	}
+	for service, seconds := range r.Busy {
+		if service == "" || !(seconds >= 0 && seconds <= maxBusy) {
+			return Record{}, fmt.Errorf("usage record: got %g s of service %q", seconds, service)
+		}
+	}
 	return r, nil
 }
 
@@ -101,6 +111,7 @@
 type Counter struct {
 	length time.Duration
 	counts map[uint64]map[string]int
+	busy   map[uint64]map[rollout.ServiceName]float64
 	// taken holds the windows of which counts were taken before.
 	taken map[uint64]bool
 	// remembered holds the window in which each recent request was counted.
@@ -109,7 +120,7 @@
 
 // NewCounter returns a Counter for windows of the given length.
 func NewCounter(length time.Duration) *Counter {
-	return &Counter{length: length, counts: map[uint64]map[string]int{}, taken: map[uint64]bool{}, remembered: map[string]uint64{}}
+	return &Counter{length: length, counts: map[uint64]map[string]int{}, busy: map[uint64]map[rollout.ServiceName]float64{}, taken: map[uint64]bool{}, remembered: map[string]uint64{}}
 }
 
 // Add counts a request of a tenant, unless it was counted before or has no tenant.
@@ -133,17 +144,29 @@
 	c.counts[window][tenant]++
 }
 
+// AddBusy adds the time that a request which ended at a time spent at a server.
+func (c *Counter) AddBusy(s rollout.ServiceName, took time.Duration, at time.Time) {
+	window := WindowAt(at, c.length)
+	if c.busy[window] == nil {
+		c.busy[window] = map[rollout.ServiceName]float64{}
+	}
+	c.busy[window][s] += took.Seconds()
+}
+
 // Taken is what was counted in one window since its counts were last taken.
 type Taken struct {
 	Window uint64
 	Counts map[string]int
+	Busy   map[rollout.ServiceName]float64
 }
 
 // Take returns and removes the counts of the windows that ended some time ago: first if
 // nothing was taken of a window before, again otherwise. The counts of windows that ended
 // longer ago than limit come too late; only their number is returned.
 func (c *Counter) Take(now time.Time, first, again, limit time.Duration) (taken []Taken, late int) {
-	for _, window := range slices.Sorted(maps.Keys(c.counts)) {
+	windows := slices.AppendSeq(slices.Collect(maps.Keys(c.counts)), maps.Keys(c.busy))
+	slices.Sort(windows)
+	for _, window := range slices.Compact(windows) {
 		age := now.Sub(EndOf(window, c.length))
 		delay := first
 		if c.taken[window] {
@@ -153,12 +176,13 @@
 		case age >= limit:
 			late += Total(c.counts[window])
 		case age >= delay:
-			taken = append(taken, Taken{Window: window, Counts: c.counts[window]})
+			taken = append(taken, Taken{Window: window, Counts: c.counts[window], Busy: c.busy[window]})
 			c.taken[window] = true
 		default:
 			continue
 		}
 		delete(c.counts, window)
+		delete(c.busy, window)
 	}
 	c.forget(WindowAt(now, c.length))
 	return taken, late
@@ -195,11 +219,12 @@
 	fixed  uint64
 	seen   map[recordID]uint64
 	counts map[uint64]map[string]int
+	busy   map[uint64]map[rollout.ServiceName]float64
 }
 
 // NewFold returns a Fold of the windows after the given one.
 func NewFold(fixed uint64) *Fold {
-	return &Fold{origin: fixed, fixed: fixed, seen: map[recordID]uint64{}, counts: map[uint64]map[string]int{}}
+	return &Fold{origin: fixed, fixed: fixed, seen: map[recordID]uint64{}, counts: map[uint64]map[string]int{}, busy: map[uint64]map[rollout.ServiceName]float64{}}
 }
 
 // Apply adds a record. It returns the number of its requests if its window was fixed by
@@ -222,9 +247,30 @@
 	for tenant, n := range r.Counts {
 		f.counts[r.Window][tenant] += n
 	}
+	if f.busy[r.Window] == nil {
+		f.busy[r.Window] = map[rollout.ServiceName]float64{}
+	}
+	for service, seconds := range r.Busy {
+		f.busy[r.Window][service] += seconds
+	}
 	return 0
 }
 
+// Origin returns the highest window whose report was fixed when the fold was created.
+func (f *Fold) Origin() uint64 { return f.origin }
+
+// Fixed returns the highest window whose report is fixed.
+func (f *Fold) Fixed() uint64 { return f.fixed }
+
+// Load returns the mean number of requests at the servers of each service in a window.
+func (f *Fold) Load(window uint64, length time.Duration) map[rollout.ServiceName]float64 {
+	out := map[rollout.ServiceName]float64{}
+	for service, seconds := range f.busy[window] {
+		out[service] = seconds / length.Seconds()
+	}
+	return out
+}
+
 // Report returns the report of a window. Its counts are not nil.
 func (f *Fold) Report(window uint64) rollout.UsageReport {
 	counts := map[string]int{}
@@ -236,6 +282,7 @@
 func (f *Fold) Fix(window uint64) {
 	f.fixed = max(f.fixed, window)
 	maps.DeleteFunc(f.counts, func(w uint64, _ map[string]int) bool { return w <= f.fixed })
+	maps.DeleteFunc(f.busy, func(w uint64, _ map[rollout.ServiceName]float64) bool { return w <= f.fixed })
 	// A repeated record arrives within a few windows of the first.
 	maps.DeleteFunc(f.seen, func(_ recordID, w uint64) bool { return w+rememberedWindows < f.fixed })
 }
--- a/rollout/usage/usage_test.go
+++ b/rollout/usage/usage_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/assert"
 	"lagoonlink.org/rollout/usage"
 )
@@ -83,3 +84,18 @@
 	_, err = usage.Decode(data)
 	assert.ErrorContains(t, "a negative count", err, "count -1")
 }
+
+func TestLoad(t *testing.T) {
+	c := usage.NewCounter(length)
+	c.AddBusy("s", 2*time.Second, at(0))
+	c.AddBusy("s", 3*time.Second, at(4))
+	taken, late := take(c, at(6))
+	assert.Equal(t, "taken", taken, []usage.Taken{{Window: 100, Busy: map[rollout.ServiceName]float64{"s": 5}}})
+	assert.Equal(t, "late", late, 0)
+	f := usage.NewFold(99)
+	for sequence := range uint64(2) {
+		f.Apply(usage.Record{VM: "a", Incarnation: "1", Sequence: sequence, Window: 100, Busy: taken[0].Busy})
+	}
+	assert.Equal(t, "load", f.Load(100, length), map[rollout.ServiceName]float64{"s": 2})
+	assert.Equal(t, "load of another window", len(f.Load(101, length)), 0)
+}
