--- a/lagoonlink/internal/duties/duties.go
+++ b/lagoonlink/internal/duties/duties.go
@@ -55,6 +55,8 @@
 	// is due Late after its window's end.
 	ReportsUsage bool
 	Window, Late time.Duration
+	// ReadsLoad reports whether the load of services is needed.
+	ReadsLoad bool
 	// Now reads a clock that also runs while the VM is suspended; WallTime reads the time
 	// of day. If they are nil, those of the system are used.
 	Now      func() time.Duration
@@ -73,6 +75,9 @@
 	state *duty.State
 	// lastCall is when the last call was started.
 	lastCall time.Duration
+	// load is the load of each service in the window that was added up at loadAt.
+	load   map[rollout.ServiceName]float64
+	loadAt time.Duration
 
 	// The following fields are only used by the task that keeps the hold.
 	reports *reports
@@ -91,10 +96,14 @@
 	if c.WallTime == nil {
 		c.WallTime = time.Now
 	}
-	return &Holder{
-		config: c, timing: usage.NewTiming(c.Late), startedAt: c.WallTime(), readAt: -readInterval,
-		state: duty.NewState(duty.Process{VM: c.VM, Incarnation: c.Incarnation}, c.Lease),
-	}
+	c.Rate = max(c.Rate, minRate)
+	h := &Holder{config: c, timing: usage.NewTiming(c.Late), startedAt: c.WallTime(), readAt: -readInterval}
+	h.state = duty.NewState(h.self(), c.Lease)
+	return h
+}
+
+func (h *Holder) self() duty.Process {
+	return duty.Process{VM: h.config.VM, Incarnation: h.config.Incarnation}
 }
 
 // Run keeps the hold and sends the reports until the context ends. It always returns nil.
@@ -147,6 +156,8 @@
 	err := h.keep(ctx)
 	if _, _, held := h.held(); held && err == nil && h.config.ReportsUsage {
 		err = h.fixReports(ctx)
+	} else if held && err == nil && h.config.ReadsLoad {
+		err = h.readLoad(ctx)
 	}
 	var mismatch *rollout.OffsetMismatchError
 	if err != nil && !h.failing && ctx.Err() == nil && !errors.As(err, &mismatch) {
@@ -203,13 +214,7 @@
 	if err := h.setOrigin(ctx); err != nil {
 		return err
 	}
-	if err := h.append(ctx, action, nil, 0); err != nil {
-		return err
-	}
-	if !held {
-		h.reports = nil
-	}
-	return nil
+	return h.append(ctx, action, nil, 0)
 }
 
 func (h *Holder) storeTimeout() time.Duration { return h.config.Lease / timeoutsPerLease }
@@ -229,6 +234,7 @@
 				first = trimmed.First
 			}
 			h.withState(func(s *duty.State) { s.SkipTo(first, h.config.Now()) })
+			h.reports = nil
 			continue
 		}
 		if err != nil {
@@ -253,6 +259,10 @@
 	if err != nil {
 		h.config.Logger.Write(event.RecordUnreadable, event.Fields{"Feed": partition, "Key": e.Offset, "Error": err})
 	}
+	if err != nil || r.Holder != h.self() {
+		// Another holder may have fixed reports.
+		h.reports = nil
+	}
 	h.withState(func(s *duty.State) {
 		if err != nil {
 			s.SkipInvalid(e.Offset, h.config.Now())
--- a/rollout/job/record.go
+++ b/rollout/job/record.go
@@ -127,13 +127,16 @@
 	Submission Location
 	// Tenant is the name of the tenant that the job belongs to, copied from the submission.
 	Tenant string `cbor:",omitempty"`
+	// Deadline is the time after acceptance by which the results are due, copied from the
+	// submission, or 0 if it isn't known.
+	Deadline time.Duration `cbor:",omitempty"`
 }
 
 // Accept returns the acceptance record of a submission that is stored at the
 // given location.
 func (s *Submission) Accept(location Location) *Accepted {
 	return &Accepted{
-		ID: s.ID, Host: s.Host, Model: s.Model, MinVersion: s.MinVersion, Total: len(s.Samples), At: s.At, Submission: location, Tenant: s.Tenant,
+		ID: s.ID, Host: s.Host, Model: s.Model, MinVersion: s.MinVersion, Total: len(s.Samples), At: s.At, Submission: location, Deadline: s.Deadline, Tenant: s.Tenant,
 	}
 }
 
