request: VMs that hear of a withdrawn suspicion don't withdraw it again

Cause: a VM takes losses of several silent servers for a cut once a minute and withdraws its suspicions. Where three requests crash servers, each of 20 VMs did so by itself: one request reached servers 62 times. Change: a VM that did not hold a suspicion notes that another VM withdrew it; a conviction that another VM reports later than the window of a cut counts again. TestResentRequestBeforeVMsAgree and the tests of request and dispatch pass.

--- a/rollout/request/suspects.go
+++ b/rollout/request/suspects.go
@@ -273,12 +273,17 @@
 // Merge merges a suspicion from another VM and reports whether it changed
 // anything. A withdrawal doesn't outweigh crashes that this VM saw itself.
 func (s *Suspects) Merge(now time.Time, other SharedSuspicion) bool {
-	if at, ok := s.withdrawn[other.Fingerprint]; ok && now.Sub(at) < withdrawalDuration {
+	e, known := s.entries[other.Fingerprint]
+	if at, ok := s.withdrawn[other.Fingerprint]; ok && now.Sub(at) < withdrawalDuration && (!other.Convicted || now.Sub(at) < cutWindow) {
 		return false
 	}
-	e, known := s.entries[other.Fingerprint]
 	if other.Withdrawn {
-		if !known || e.own > 0 {
+		if e.own > 0 {
+			return false
+		}
+		if !known {
+			// This VM must not take losses of the same cause for a cut again.
+			s.withdrawn[other.Fingerprint] = now
 			return false
 		}
 		delete(s.entries, other.Fingerprint)
