scaling: give up servers only when the others run all work at once

Cause: the planner wanted as many servers as do the work in time. A step's longest samples take 7 to 8.5 s of the 7.5 s until it is due, so every wait for a slot makes it late. Change: servers are added by the work that can't be done in time, given up by the slots in which all open samples run at once, over 34 s; in between the number stays, lost ones are replaced, and those that exist are not moved to other kinds. TestReclaimed now keeps the work's due time the same before the second decision, as its comment says; the number it asks for stands.

--- a/rollout/scaling/scaling.go
+++ b/rollout/scaling/scaling.go
@@ -11,19 +11,10 @@
 	"lagoonlink.org/rollout"
 )
 
-// Values of servers and of work, on one scale. They are those of the deployments that this
-// was made for.
-const (
-	// serverSecond is the cost of a server for a second at price 1.
-	serverSecond = 0.0059
-	// lateGroup is what a group of samples is worth, and idleShare the part of it that a
-	// server may cost while it is kept for work that may come. At price 1 that is 34 s, at
-	// which steps come several times.
-	lateGroup = 4
-	idleShare = 0.05
-	// maxHold limits the time for which cheap servers are kept.
-	maxHold = 90 * time.Second
-)
+// hold is the time for which a server is kept for work that may come. At price 1 it costs
+// 0.2 in that time (0.0059 a second), a twentieth of the 4 that a late group of samples costs,
+// on the scale of the deployments that this was made for.
+const hold = 34 * time.Second
 
 // Rules of the decision.
 const (
@@ -109,14 +100,17 @@
 	countedAt time.Time
 	results   int
 	busy      float64
-	peaks     map[Kind][]peak
-	orders    map[Kind]order
+	// target is the number of servers that the service should have, 0 before the first decision.
+	target int
+	// peaks holds the highest demand of the time for which servers are kept, newest last.
+	peaks  []peak
+	orders map[Kind]order
 }
 
 // NewPlanner returns a Planner that knows no earlier orders. It reduces nothing until it
 // has seen the work for as long as servers are kept.
 func NewPlanner(now time.Time) *Planner {
-	return &Planner{startedAt: now, peaks: map[Kind][]peak{}, orders: map[Kind]order{}}
+	return &Planner{startedAt: now, orders: map[Kind]order{}}
 }
 
 // Constants of the estimate of a sample's time.
@@ -205,18 +199,44 @@
 	return needed
 }
 
-// Decide returns the orders to send now.
+// Concurrent returns the number of slots in which all open samples run at once, none of which
+// then waits for another. A step ends with its longest samples, which may take nearly all the
+// time until it is due.
+func (p *Planner) Concurrent(now time.Time, in Input) float64 {
+	open := 0
+	for _, w := range in.Work {
+		if now.Sub(w.Due) <= maxOverdue {
+			open += w.Samples
+		}
+	}
+	return float64(open) / targetLoad
+}
+
+// Decide returns the orders to send now. Servers are added when the work can't be done in
+// time, and given up only when the others could run all of it at once for as long as a server
+// is kept. In between the number stays, and lost servers are replaced.
 func (p *Planner) Decide(now time.Time, in Input) []Order {
 	p.observe(now, in)
-	wanted := p.spread(now, in, int(math.Ceil(p.Needed(now, in)/float64(max(1, in.Slots)))))
+	slots := float64(max(1, in.Slots))
+	needed := int(math.Ceil(p.Needed(now, in) / slots))
+	demand := max(needed, int(math.Ceil(p.Concurrent(now, in)/slots)))
+	if p.target == 0 {
+		for _, n := range in.Present {
+			p.target += n
+		}
+	}
+	held := p.highest(now, demand)
+	if now.Sub(p.startedAt) < hold {
+		held = max(held, p.target)
+	}
+	p.target = min(max(p.target, needed), held)
+	p.target = min(max(p.target, in.Scaling.Min*len(in.Zones)), in.Scaling.Max*len(in.Zones))
+	wanted := p.spread(now, in)
 	var out []Order
 	for _, zone := range in.Zones {
-		room := in.Scaling.Max
 		for _, reclaimable := range []bool{false, true} {
 			k := Kind{zone, reclaimable}
-			count := min(room, p.hold(now, in, k, wanted[k]))
-			room -= count
-			if o, ok := p.decideKind(now, in, k, count); ok {
+			if o, ok := p.decideKind(now, in, k, wanted[k]); ok {
 				out = append(out, o)
 			}
 		}
@@ -230,7 +250,7 @@
 	if !known {
 		last.count = in.Present[k]
 	}
-	settled := now.Sub(last.at) > in.Scaling.Boot+bootSlack
+	settled := p.settled(now, in, last)
 	switch {
 	case now.Sub(last.refused) < refusedFor && count >= last.count:
 		return Order{}, false
@@ -241,21 +261,24 @@
 	return Order{k, count}, true
 }
 
-// hold returns the highest number that was wanted of a kind in the time for which a server
-// of it is kept.
-func (p *Planner) hold(now time.Time, in Input, k Kind, count int) int {
-	price := in.price(k)
-	keep := maxHold
-	if price > 0 {
-		keep = min(maxHold, time.Duration(idleShare*lateGroup/(serverSecond*price)*float64(time.Second)))
-	}
-	list := slices.DeleteFunc(p.peaks[k], func(q peak) bool { return q.count <= count || now.Sub(q.at) > keep })
-	p.peaks[k] = append(list, peak{count, now})
-	held := p.peaks[k][0].count
-	if now.Sub(p.startedAt) < keep {
-		held = max(held, min(in.Present[k], in.Scaling.Max))
+// highest returns the highest demand of the time for which a server is kept.
+func (p *Planner) highest(now time.Time, demand int) int {
+	list := slices.DeleteFunc(p.peaks, func(q peak) bool { return q.count <= demand || now.Sub(q.at) > hold })
+	p.peaks = append(list, peak{demand, now})
+	return p.peaks[0].count
+}
+
+// assumed returns the number of servers of a kind that are present or may be booting.
+func (p *Planner) assumed(now time.Time, in Input, k Kind) int {
+	if last, known := p.orders[k]; known && !p.settled(now, in, last) {
+		return last.count
 	}
-	return held
+	return in.Present[k]
+}
+
+// settled reports whether the servers of an order must be registered by now.
+func (p *Planner) settled(now time.Time, in Input, o order) bool {
+	return now.Sub(o.at) > in.Scaling.Boot+bootSlack
 }
 
 // price returns the price of a server of a kind.
@@ -270,32 +293,60 @@
 	return price
 }
 
-// spread distributes a number of servers over zones and kinds.
-func (p *Planner) spread(now time.Time, in Input, servers int) map[Kind]int {
+// spread distributes the wanted servers over zones and kinds. Servers that exist stay where
+// they are, unless there are too many.
+func (p *Planner) spread(now time.Time, in Input) map[Kind]int {
 	out := map[Kind]int{}
 	zones := slices.Clone(in.Zones)
 	slices.SortStableFunc(zones, func(a, b rollout.Zone) int {
 		return cmp.Compare(in.price(Kind{Zone: a}), in.price(Kind{Zone: b}))
 	})
+	base, total := 0, 0
 	for _, z := range zones {
-		out[Kind{Zone: z}] = in.Scaling.Min
-		servers -= in.Scaling.Min
+		k, cheap := Kind{z, false}, Kind{z, true}
+		out[k], out[cheap] = max(p.assumed(now, in, k), in.Scaling.Min), p.assumed(now, in, cheap)
+		base += out[k]
+		total += out[k] + out[cheap]
 	}
-	base := len(zones) * in.Scaling.Min
 	reclaimable := in.Scaling.SpotPrice > 0 && in.Scaling.SpotPrice < 1
-	for servers > 0 {
-		burst := reclaimable && float64(base) >= baseShare*float64(base+servers)
+	for ; total < p.target; total++ {
+		burst := reclaimable && float64(base) >= baseShare*float64(total+1)
 		if !burst || !p.place(now, in, zones, out, true) {
 			if !p.place(now, in, zones, out, false) && (!reclaimable || !p.place(now, in, zones, out, true)) {
 				break
 			}
 			base++
 		}
-		servers--
+	}
+	slices.Reverse(zones)
+	for ; total > p.target; total-- {
+		surplus := float64(base-1) >= baseShare*float64(total-1)
+		switch {
+		case surplus && remove(in, zones, out, false):
+			base--
+		case remove(in, zones, out, true):
+		case remove(in, zones, out, false):
+			base--
+		default:
+			return out
+		}
 	}
 	return out
 }
 
+// remove takes a server of a kind from the first zone that has one to spare, and reports
+// whether there was one.
+func remove(in Input, zones []rollout.Zone, out map[Kind]int, reclaimable bool) bool {
+	for _, z := range zones {
+		k := Kind{z, reclaimable}
+		if reclaimable && out[k] > 0 || !reclaimable && out[k] > in.Scaling.Min {
+			out[k]--
+			return true
+		}
+	}
+	return false
+}
+
 // place adds a server of a kind in the zone that has fewest of it, among those that have
 // room, do not cost much more than the cheapest of these, and did not refuse it recently.
 func (p *Planner) place(now time.Time, in Input, zones []rollout.Zone, out map[Kind]int, reclaimable bool) bool {
--- a/rollout/scaling/scaling_test.go
+++ b/rollout/scaling/scaling_test.go
@@ -1,6 +1,7 @@
 package scaling_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -131,6 +132,7 @@
 		assert.True(t, "not while they may be booting", o.Kind != k)
 	}
 	found := 0
+	in.Work[0].Due = now(8).Add(jobDue)
 	for _, o := range p.Decide(now(8), in) {
 		if o.Kind == k {
 			found = o.Count
@@ -139,6 +141,34 @@
 	assert.Equal(t, "ordered again", found, wanted)
 }
 
+// Servers that the steps fill at once must be kept although the work would be done in time
+// with fewer: samples that wait for others make a step late. Lost ones must be replaced.
+func TestSlackIsKept(t *testing.T) {
+	p, in := scaling.NewPlanner(now(0)), input(now(0), 0.4, 0)
+	in.Scaling.Max = 24
+	for _, z := range zones {
+		in.Present[scaling.Kind{Zone: z}] = 15
+	}
+	orders := 0
+	for at := 0.0; at < 120; at += 0.5 {
+		// Four jobs each 4 s, whose samples end evenly within 3 s.
+		open := 600 * max(0, 1-math.Mod(at, 4)/3)
+		in.Work = []scaling.Work{{Samples: int(open), Due: now(at).Add(jobDue)}}
+		in.Results += 75
+		made := p.Decide(now(at), in)
+		orders += len(made)
+		accept(p, now(at), in, made)
+	}
+	assert.Equal(t, "orders", orders, 0)
+	k := scaling.Kind{Zone: "z1"}
+	in.Present[k] = 4
+	for at := 120.0; at < 124; at += 0.5 {
+		accept(p, now(at), in, p.Decide(now(at), in))
+	}
+	base, reclaimable, _ := count(in)
+	assert.Equal(t, "servers after a loss", base+reclaimable, 45)
+}
+
 // Plain requests are planned by their load.
 func TestPlainLoad(t *testing.T) {
 	p, in := scaling.NewPlanner(now(0)), input(now(0), 0.4, 0)
