httpclient: close idle connections to the store after a silent call

Cause: when connections to the store fall silent together, a read of the operators' topic that timed out was repeated on the next kept connection, which was silent too, so that time-outs of 1.2 s added up.

Change: a client of one server closes its idle connections when a call on a kept connection gets no response in time, so that the repeated call opens a new one. The followers of the store all share that client.

--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -80,7 +80,7 @@
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	logger := event.NewLogger(log)
 
-	storeClient := httpclient.New(httpclient.Config{ConnectTimeout: connectTimeout, MaxIdlePerServer: maxIdleToStore, IdleTimeout: idleTimeout, UnacknowledgedTimeout: unackedTimeout, BufferSize: storeBufferBytes})
+	storeClient := httpclient.New(httpclient.Config{ConnectTimeout: connectTimeout, MaxIdlePerServer: maxIdleToStore, IdleTimeout: idleTimeout, UnacknowledgedTimeout: unackedTimeout, BufferSize: storeBufferBytes, RenewAfterSilence: true})
 	serverClient := httpclient.New(httpclient.Config{
 		ConnectTimeout: connectTimeout, MaxIdlePerServer: maxIdlePerServer, IdleTimeout: idleTimeout, UnacknowledgedTimeout: unackedTimeout, BufferSize: serverBufferBytes,
 		MaxBufferedBytes: int64(bodyMemoryShare * float64(s.MemoryMB) * (1 << 20)),
--- a/rollout/httpclient/httpclient.go
+++ b/rollout/httpclient/httpclient.go
@@ -59,6 +59,10 @@
 	// BufferSize is the size in bytes of a connection's read buffer and of its write
 	// buffer; 0 means 16 KiB.
 	BufferSize int
+	// RenewAfterSilence closes all idle connections when a request on a kept connection gets
+	// no response in time: connections that fall silent often do so together, and the next
+	// requests would find out on each of them anew. It is meant for clients of one server.
+	RenewAfterSilence bool
 	// MaxHeaderBytes limits the header of a response; 0 means 32 KiB.
 	MaxHeaderBytes int64
 	// MaxBufferedBytes limits the total of the response bodies that DoAll and ReadBody
@@ -83,6 +87,8 @@
 	// limit.
 	buffered    atomic.Int64
 	maxBuffered int64
+	// renewAfterSilence is Config.RenewAfterSilence.
+	renewAfterSilence bool
 	// sent and received count the bytes of all connections.
 	sent, received atomic.Uint64
 }
@@ -137,7 +143,7 @@
 
 // New returns a client.
 func New(c Config) *Client {
-	client := &Client{maxBuffered: c.MaxBufferedBytes}
+	client := &Client{maxBuffered: c.MaxBufferedBytes, renewAfterSilence: c.RenewAfterSilence}
 	dialer := &net.Dialer{Timeout: c.ConnectTimeout}
 	if c.UnacknowledgedTimeout > 0 {
 		setUnacknowledgedTimeout(dialer, c.UnacknowledgedTimeout)
@@ -196,6 +202,8 @@
 	conn atomic.Pointer[countingConn]
 	// writtenBefore is the number of bytes written to conn before it was assigned.
 	writtenBefore atomic.Uint64
+	// reused reports whether conn had served an earlier request.
+	reused atomic.Bool
 }
 
 func (t *writeTracker) clientTrace() *httptrace.ClientTrace {
@@ -207,6 +215,7 @@
 			}
 			c.pending.Add(1)
 			t.writtenBefore.Store(c.written.Load())
+			t.reused.Store(i.Reused)
 			t.conn.Store(c)
 		},
 		PutIdleConn: func(err error) {
@@ -241,6 +250,9 @@
 		reason = rollout.ReasonCanceled
 	case errors.Is(r.Context().Err(), context.DeadlineExceeded):
 		reason = rollout.ReasonDeadline
+		if c.renewAfterSilence && t.reused.Load() {
+			c.transport.CloseIdleConnections()
+		}
 	}
 	return nil, rollout.Fail(t.verdict(), reason, err)
 }
