--- a/rollout/keyvalue/keyvalue.go
+++ b/rollout/keyvalue/keyvalue.go
@@ -78,6 +78,20 @@
 	return n
 }
 
+// FirstPort returns the first port of a list of ports separated by commas, or 0 if the key is
+// missing or empty.
+func (p *Parser) FirstPort(key string) int {
+	first, _, _ := strings.Cut(p.values[key], ",")
+	if strings.TrimSpace(first) == "" {
+		return 0
+	}
+	n, err := strconv.ParseUint(strings.TrimSpace(first), 10, 16)
+	if err != nil || n == 0 {
+		p.fail(key, "ports, separated by commas")
+	}
+	return int(n)
+}
+
 // NonNegative returns a value that must be a number from 0 to maxNumber.
 func (p *Parser) NonNegative(key string) float64 {
 	n, err := strconv.ParseFloat(p.values[key], 64)
