relay: serve requests through another VM while no server is reached

Cause: a VM had no way to servers but its own, and no memory of having lost it, so that each request tried every server and was refused at its deadline.

The same requests in TestCallersOfIsolatedVMsAreServed fail without Config.Peers, which is the code before.

Change: one attempt without a response starts a probe of other servers; if none accepts a connection, requests go to a VM that does, one hop, with verdict, attempts, deadline and cancellation kept. If nobody reaches servers, requests are refused at once.

--- a/lagoonlink/internal/cmd/gateway.go
+++ b/lagoonlink/internal/cmd/gateway.go
@@ -94,16 +94,20 @@
 	}
 	platformStore := store.New(storeClient, s.Store)
 	backendClient := backend.New(serverClient)
+	// Limits of callers' bodies and connections come from the relay, which needs the VM first.
+	var requests *relay.Relay
+	admit := admission.New(admission.Config{
+		Limits: memory.Derive(int64(s.MemoryMB)<<20, s.MaxFDs), IdleTimeout: func() time.Duration { return requests.Limits().IdleTimeout }, Logger: logger, Metrics: scope,
+	})
 	return gateway.New(gateway.Config{
 		VM: rollout.VMName(s.VM), Address: s.IP, Zone: rollout.Zone(s.Zone), Capacity: s.Capacity, Partitions: s.Partitions, RecordBytes: s.RecordBytes, CallBytes: s.CallBytes, MemoryMB: s.MemoryMB,
 		Grace: s.Grace, OrderLease: s.OrderLease, MinMembershipLease: s.MinMembership, ChecksFence: s.FencingRequired,
 		Revocation: tenancy.Policy{StrictRevoke: s.StrictRevoke, RevokeAfter: s.RevokeAfter}, Duties: newDuties(s, serverClient),
 		Journal: platformStore, Groups: platformStore, Operator: store.OperatorFeed(platformStore), Servers: store.ServerFeed(platformStore),
 		Forwarder: backendClient, Engine: backendClient, Scorer: backendClient, Control: backendClient, Limits: backendClient, Departures: backendClient, Loads: backendClient, BytePrice: s.BytePrice,
-		NewListener: func(requests *relay.Relay, manager *jobs.Manager, ready func() bool) gateway.Listener {
-			admit := admission.New(admission.Config{
-				Limits: memory.Derive(int64(s.MemoryMB)<<20, s.MaxFDs), IdleTimeout: func() time.Duration { return requests.Limits().IdleTimeout }, Logger: logger, Metrics: scope,
-			})
+		InternalAddress: s.Internal, ServerClient: serverClient, Admission: admit,
+		NewListener: func(r *relay.Relay, manager *jobs.Manager, ready func() bool) gateway.Listener {
+			requests = r
 			return listener.New(listener.Config{
 				Address: s.Front, Callers: front.New(requests, manager, admit), ReadyAddress: s.Ready, Ready: front.Readiness(ready), Admission: admit,
 			})
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -16,12 +16,16 @@
 
 	"github.com/oklog/run"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
 
+	"lagoonlink.org/lagoonlink/internal/admission"
 	"lagoonlink.org/lagoonlink/internal/departure"
+	"lagoonlink.org/lagoonlink/internal/directory"
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/duties"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/fleet"
+	"lagoonlink.org/lagoonlink/internal/forwarding"
 	"lagoonlink.org/lagoonlink/internal/incarnation"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/jobs"
@@ -30,6 +34,7 @@
 	"lagoonlink.org/lagoonlink/internal/ownership"
 	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/lagoonlink/internal/quotas"
+	"lagoonlink.org/lagoonlink/internal/reach"
 	"lagoonlink.org/lagoonlink/internal/relay"
 	"lagoonlink.org/lagoonlink/internal/scaler"
 	"lagoonlink.org/lagoonlink/internal/suspicions"
@@ -119,10 +124,18 @@
 	// Duties configures the calls that only one VM may make at a time.
 	Duties Duties
 
-	Journal   rollout.Journal
-	Groups    rollout.Groups
-	Operator  rollout.Feed[rollout.Declared]
-	Servers   rollout.Feed[rollout.RegisteredServer]
+	Journal  rollout.Journal
+	Groups   rollout.Groups
+	Operator rollout.Feed[rollout.Declared]
+	Servers  rollout.Feed[rollout.RegisteredServer]
+	// InternalAddress takes requests of other VMs. If it is empty, requests are neither taken
+	// from other VMs nor sent to them.
+	InternalAddress string
+	// ServerClient sends requests to other VMs within the memory for responses of servers.
+	ServerClient *httpclient.Client
+	// Admission bounds the memory of requests of other VMs.
+	Admission *admission.Controller
+
 	Forwarder rollout.Forwarder
 	Engine    rollout.SampleEngine
 	Scorer    rollout.SampleScorer
@@ -186,8 +199,12 @@
 	scaler *scaler.Scaler
 	// incarnation identifies this process in the records of these tasks.
 	incarnation string
-	listener    Listener
-	stopping    chan struct{}
+	// reach, directory and peers are nil if requests are not passed between VMs.
+	reach     *reach.Watcher
+	directory *directory.Directory
+	peers     *forwarding.Server
+	listener  Listener
+	stopping  chan struct{}
 }
 
 // New returns an entry VM that is not running yet.
@@ -211,7 +228,12 @@
 	g.fleet = fleet.New(fleet.Config{Operator: c.Operator, Servers: c.Servers, InForce: inForce, Dispatch: g.dispatch, ChecksFence: c.ChecksFence, OperatorWait: operatorWait(c.Revocation), Logger: c.Logger})
 	c.Departures.NotifyLeaving(g.fleet)
 	forwarder, scorer := g.newUsage()
-	gate := departure.New(departure.Config{Servers: g.fleet, Forwarder: forwarder, Engine: c.Engine, Scorer: scorer})
+	engine := c.Engine
+	if c.InternalAddress != "" {
+		g.newReach(inForce, forwarder, scorer)
+		forwarder, engine, scorer = g.reach, g.reach, g.reach
+	}
+	gate := departure.New(departure.Config{Servers: g.fleet, Forwarder: forwarder, Engine: engine, Scorer: scorer})
 	g.owner = ownership.New(ownership.Config{
 		VM: c.VM, Groups: c.Groups, Group: runnerGroup, Topics: []string{job.TopicIndex}, Lease: time.Duration(leaseMultiple * float64(c.MinMembershipLease)),
 		Candidate: candidacy.Candidate{Capacity: c.Capacity, Partitions: c.Partitions}, Logger: c.Logger,
@@ -234,11 +256,31 @@
 	if g.usage != nil && c.Duties.ReportsUsage {
 		relayConfig.Usage = g.usage
 	}
+	if g.reach != nil {
+		relayConfig.Peers = forwarding.NewClient(forwarding.ClientConfig{Zone: c.Zone, HTTP: c.ServerClient, Reach: g.reach, Directory: g.directory})
+	}
 	requests := relay.New(relayConfig)
+	if g.reach != nil {
+		g.peers = forwarding.NewServer(forwarding.ServerConfig{Address: c.InternalAddress, InForce: inForce, Requests: requests, Memory: c.Admission, Admit: c.Admission.Handler})
+	}
 	g.listener = c.NewListener(requests, g.manager, g.ready)
 	return g
 }
 
+// newReach creates the tasks that watch whether this VM reaches backend servers and tell the
+// other VMs.
+func (g *Gateway) newReach(inForce *inforce.Holder, forwarder rollout.Forwarder, scorer rollout.SampleScorer) {
+	c := g.config
+	g.reach = reach.New(reach.Config{
+		Zone: c.Zone, InForce: inForce, Probe: httpclient.Connects, Seed: rand.IntN(1 << 20), Forwarder: forwarder, Engine: c.Engine, Scorer: scorer,
+		Logger: c.Logger, Metrics: c.Metrics,
+	})
+	g.directory = directory.New(directory.Config{
+		VM: c.VM, Zone: c.Zone, Address: c.InternalAddress, Journal: c.Journal, Reaches: func() bool { return !g.reach.IsolatedNow() },
+		Changed: g.reach.Watch(), Logger: c.Logger,
+	})
+}
+
 // operatorWait returns how long a read of the operators' topic waits, or 0 for the default.
 // Where a VM refuses requests if it has not read the topic for a time, three reads and the
 // time-out of one that fails (0.85 s with the pause) fit into that time, from 1.4 s on.
@@ -318,7 +360,7 @@
 		"quotas":   g.quotas.Run,
 		"began":    g.origins.Publish,
 		"resumed":  g.origins.Follow,
-		"callers":  g.listener.Serve,
+		"callers":  g.serveCallers,
 		"ready":    g.listener.ServeReady,
 		"signals":  g.stopOnSignal,
 		"metrics":  g.serveMetrics,
@@ -332,6 +374,11 @@
 	if g.scaler != nil {
 		tasksByName["scaler"] = g.scaler.Run
 	}
+	if g.reach != nil {
+		tasksByName["reach"] = g.reach.Run
+		tasksByName["directory"] = g.directory.Run
+		tasksByName["peers"] = g.servePeers
+	}
 	for name, task := range tasksByName {
 		tasks.Add(func() error {
 			defer func() {
@@ -345,6 +392,9 @@
 			cancel()
 			// This runs once for each task; errors of closing again don't matter.
 			_ = g.listener.Close()
+			if g.peers != nil {
+				_ = g.peers.Close()
+			}
 		})
 	}
 	err := tasks.Run()
@@ -359,6 +409,30 @@
 	return err
 }
 
+// servePeers takes requests of other VMs until the context ends. A failure, such as a port
+// that is in use, is logged and does not stop the VM.
+func (g *Gateway) servePeers(ctx context.Context) error {
+	if err := g.peers.Serve(ctx); err != nil && ctx.Err() == nil {
+		g.directory.Leave()
+		g.config.Logger.Write(event.PeersUnserved, event.Fields{"Address": g.config.InternalAddress, "Error": err})
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// serveCallers serves callers. It returns after a shutdown, when the requests of callers and
+// those of other VMs are completed.
+func (g *Gateway) serveCallers(ctx context.Context) error {
+	err := g.listener.Serve(ctx)
+	if err == nil && g.peers != nil {
+		select {
+		case <-g.peers.Stopped():
+		case <-ctx.Done():
+		}
+	}
+	return err
+}
+
 // stopOnSignal waits for a termination signal and then shuts down gracefully.
 func (g *Gateway) stopOnSignal(ctx context.Context) error {
 	select {
@@ -390,6 +464,10 @@
 	g.logDrain(event.Draining, started, nil)
 	close(g.stopping)
 	g.listener.Drain()
+	if g.peers != nil {
+		g.directory.Leave()
+		g.peers.Leave()
+	}
 	stopCtx, cancel := context.WithTimeout(ctx, stopRunsTimeout)
 	g.manager.Stop(stopCtx)
 	cancel()
@@ -397,7 +475,12 @@
 	pause.For(ctx, drainNotice-time.Since(started))
 	shutdownCtx, cancel := context.WithTimeout(ctx, g.config.Grace-graceMargin-time.Since(started))
 	defer cancel()
-	if err := g.listener.Shutdown(shutdownCtx); err != nil && !errors.Is(err, context.Canceled) {
+	var servers errgroup.Group
+	servers.Go(func() error { return g.listener.Shutdown(shutdownCtx) })
+	if g.peers != nil {
+		servers.Go(func() error { return g.peers.Shutdown(shutdownCtx) })
+	}
+	if err := servers.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		g.logDrain(event.DrainTimeout, started, err)
 		return
 	}
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -54,7 +54,16 @@
 
 var errStaleWeights = errors.New("the server's weights are too old")
 
-var errPieceTimeout = errors.New("the server generated no piece within the timeout")
+// pieceTimeoutError is a time-out, by which those who observe servers tell it from the end of
+// a run for another reason.
+type pieceTimeoutError struct{}
+
+func (pieceTimeoutError) Error() string { return "the server generated no piece within the timeout" }
+
+// Timeout implements net.Error.
+func (pieceTimeoutError) Timeout() bool { return true }
+
+var errPieceTimeout error = pieceTimeoutError{}
 
 // runSample runs one sample until it has a result, its retention ends or the run
 // is canceled.
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -60,6 +60,8 @@
 	Dispatch  *dispatch.Dispatcher
 	Forwarder rollout.Forwarder
 	Origins   rollout.StreamOrigins
+	// Peers serves requests while this VM reaches no backend server. It may be nil.
+	Peers rollout.PeerForwarder
 	// Incarnations confirms the servers that continue streams.
 	Incarnations *incarnation.Checker
 	// Revocation states how removed API keys are treated.
@@ -149,7 +151,7 @@
 	}()
 	q.Streamed = route.Kind == rollout.RouteStream
 	s := &servedRequest{
-		relay: r, request: q, route: route, start: start, verdict: rollout.NotRun,
+		relay: r, request: q, route: route, start: start, verdict: rollout.NotRun, began: q.Counted,
 		fingerprint: request.Fingerprint(xxh3.HashString(q.Host+q.Target) ^ xxh3.Hash(q.Body)),
 	}
 	response, err := s.serve(ctx)
@@ -183,6 +185,9 @@
 }
 
 func (s *servedRequest) serve(ctx context.Context) (rollout.ForwardedResponse, error) {
+	if s.relay.Isolated(ctx) {
+		return s.serveIsolated(ctx)
+	}
 	if s.request.Streamed && s.request.Resumed {
 		software, err := s.relay.config.Origins.Find(ctx, s.request.Resumes)
 		if err != nil {
@@ -212,6 +217,9 @@
 			if s.refusals >= maxRefusals || ctx.Err() != nil {
 				return rollout.ForwardedResponse{}, s.refusal(err)
 			}
+			if s.relay.Isolated(ctx) {
+				return s.serveIsolated(ctx)
+			}
 			pause.For(ctx, refusalDelay)
 			continue
 		}
@@ -220,6 +228,9 @@
 		if !s.mayRetry(ctx) {
 			return rollout.ForwardedResponse{}, s.failure(ctx, err)
 		}
+		if s.relay.Isolated(ctx) {
+			return s.serveIsolated(ctx)
+		}
 	}
 }
 
@@ -228,7 +239,15 @@
 func (s *servedRequest) mayRetry(ctx context.Context) bool {
 	current := s.currentRoute(s.relay.config.InForce.Current())
 	return s.route.Kind == rollout.RouteIdempotent && current.Kind == rollout.RouteIdempotent &&
-		s.attemptsRun < min(s.route.MaxAttempts, current.MaxAttempts) && ctx.Err() == nil
+		s.attemptsRun < min(s.maxAttempts(s.route), current.MaxAttempts) && ctx.Err() == nil
+}
+
+// maxAttempts returns the number of servers that the request may run on by a route.
+func (s *servedRequest) maxAttempts(route rollout.Route) int {
+	if s.request.MaxAttempts > 0 {
+		return min(s.request.MaxAttempts, route.MaxAttempts)
+	}
+	return route.MaxAttempts
 }
 
 func (s *servedRequest) newRequest(ctx context.Context) dispatch.Request {
@@ -330,7 +349,7 @@
 // permits.
 func (s *servedRequest) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
-	if !ok || s.route.Kind != rollout.RouteIdempotent || s.attemptsRun+1 >= s.route.MaxAttempts {
+	if !ok || s.route.Kind != rollout.RouteIdempotent || s.attemptsRun+1 >= s.maxAttempts(s.route) {
 		return context.WithCancel(ctx)
 	}
 	remaining := time.Until(deadline)
@@ -411,6 +430,9 @@
 		"Request": s.request.ID, "Route": s.route.Name, "Service": s.sentTo, "Attempts": s.attemptsRun, "Refusals": s.refusals,
 		"Servers": s.avoid, "Took": duration.Round(time.Microsecond).String(),
 	}
+	if s.request.FromPeer {
+		fields["FromPeer"] = true
+	}
 	if s.request.Tenant != "" {
 		fields["Tenant"], fields["Waited"] = s.request.Tenant, s.waited.Seconds()
 	}
--- a/rollout/httpclient/httpclient.go
+++ b/rollout/httpclient/httpclient.go
@@ -396,6 +396,22 @@
 	return true
 }
 
+// connectsTimeout is the timeout of the connection attempt of Connects, many times the round
+// trip between zones.
+const connectsTimeout = 120 * time.Millisecond
+
+// Connects reports whether a new connection to the address is established at once.
+func Connects(ctx context.Context, address string) bool {
+	d := net.Dialer{Timeout: connectsTimeout, KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	// Nothing was sent on the connection, so an error of Close loses no data.
+	_ = conn.Close()
+	return true
+}
+
 // refusesTimeout is the timeout of the connection attempt of Refuses.
 const refusesTimeout = 100 * time.Millisecond
 
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -160,6 +160,14 @@
 	// Tenant is the name of the tenant that sent the request; it is empty if nobody's key
 	// was checked.
 	Tenant string
+	// FromPeer reports whether another VM sent the request, because it reaches no server. It
+	// is never sent on to a third VM.
+	FromPeer bool
+	// MaxAttempts limits the servers that the request may run on, as the route does; 0 means
+	// that only the route does.
+	MaxAttempts int
+	// Counted reports whether the request was counted as begun before.
+	Counted bool
 }
 
 // ForwardedResponse is a backend server's response.
@@ -185,6 +193,26 @@
 	Forward(ctx context.Context, s Server, r ForwardedRequest) (ForwardedResponse, error)
 }
 
+// PeerForwarder serves requests through other VMs while this VM reaches no backend server.
+type PeerForwarder interface {
+	// Isolated reports whether this VM reaches no server. It waits while that is decided.
+	Isolated(ctx context.Context) bool
+	// Peers returns the VMs that may serve a request with the given ID, in the order in which
+	// they are asked.
+	Peers(ctx context.Context, id string) []PeerVM
+	// Forward sends a request to a VM, which runs it or refuses it. Its errors are Failures.
+	// The version is that of the configuration under which the request was admitted: a VM
+	// with an older one refuses it.
+	Forward(ctx context.Context, to PeerVM, r ForwardedRequest, version ConfigurationVersion) (ForwardedResponse, error)
+}
+
+// PeerVM is another entry VM.
+type PeerVM struct {
+	Name VMName
+	// Address takes requests of other VMs.
+	Address string
+}
+
 // ObservedLimit is what a server's response says about the server's request rate limit.
 type ObservedLimit struct {
 	// Rate is the number of requests a second that the server takes from all VMs
--- a/rollout/purity_test.go
+++ b/rollout/purity_test.go
@@ -17,7 +17,7 @@
 // purePackages contain decision logic and must not use I/O, clocks or goroutines.
 var purePackages = []string{
 	"sample", "fair", "placement", "request", "membership", "weights", "configuration", "lifecycle", "routing", "registry", "job", "candidacy", "scoring", "quota", "origin",
-	"textread", "tenancy", "duty", "usage", "scaling", "spill", "memory", "review", "heartbeat", "document", "keyvalue",
+	"textread", "tenancy", "duty", "usage", "scaling", "spill", "memory", "review", "heartbeat", "document", "keyvalue", "isolation",
 }
 
 // impureImports are packages for I/O and synchronization that pure packages must
