ownership: hand jobs over while no backend server is reached

Cause: the owner of a partition of jobs keeps it as long as it reaches the store, whether or not it can run anything.

Change: a VM that reaches no server, while another one announces that it does, stores what its runs have generated, leaves the group, and joins again when it reaches a server. If nobody does, everything stays where it is.

TestOwner has a case for it.

--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -44,6 +45,7 @@
 	"lagoonlink.org/rollout/candidacy"
 	"lagoonlink.org/rollout/fair"
 	"lagoonlink.org/rollout/httpclient"
+	"lagoonlink.org/rollout/isolation"
 	"lagoonlink.org/rollout/job"
 	"lagoonlink.org/rollout/placement"
 	"lagoonlink.org/rollout/tenancy"
@@ -236,7 +238,7 @@
 	gate := departure.New(departure.Config{Servers: g.fleet, Forwarder: forwarder, Engine: engine, Scorer: scorer})
 	g.owner = ownership.New(ownership.Config{
 		VM: c.VM, Groups: c.Groups, Group: runnerGroup, Topics: []string{job.TopicIndex}, Lease: time.Duration(leaseMultiple * float64(c.MinMembershipLease)),
-		Candidate: candidacy.Candidate{Capacity: c.Capacity, Partitions: c.Partitions}, Logger: c.Logger,
+		Candidate: candidacy.Candidate{Capacity: c.Capacity, Partitions: c.Partitions}, HandsOver: g.handsOver, HandOver: func(ctx context.Context) { g.manager.HandOver(ctx) }, Logger: c.Logger,
 	})
 	incarnations := incarnation.New(incarnation.Config{Control: c.Control, Logger: c.Logger})
 	g.manager = jobs.New(jobs.Config{
@@ -281,6 +283,12 @@
 	})
 }
 
+// handsOver reports whether this VM reaches no backend server and another one does.
+func (g *Gateway) handsOver(ctx context.Context) bool {
+	return g.reach != nil && g.reach.IsolatedNow() &&
+		slices.ContainsFunc(g.directory.Peers(ctx), func(p isolation.Peer) bool { return p.Reaches })
+}
+
 // operatorWait returns how long a read of the operators' topic waits, or 0 for the default.
 // Where a VM refuses requests if it has not read the topic for a time, three reads and the
 // time-out of one that fails (0.85 s with the pause) fit into that time, from 1.4 s on.
--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -45,6 +45,7 @@
 	errJobEnded      = errors.New("the job has ended")
 	errOwnershipLost = errors.New("another VM owns the job")
 	errShuttingDown  = errors.New("the process is shutting down")
+	errHandedOver    = errors.New("this VM reaches no backend server")
 )
 
 // runner runs the samples of the jobs in the partitions that this VM owns.
@@ -355,6 +356,22 @@
 	return best, best.Pieces > 0
 }
 
+// handOverDelay is the time for which HandOver lets canceled runs store what they have
+// generated, before the next owner looks for it.
+const handOverDelay = 150 * time.Millisecond
+
+// HandOver cancels all runs, so that other VMs continue them from what they have generated.
+func (m *Manager) HandOver(ctx context.Context) {
+	r := m.runner
+	r.mu.Lock()
+	for id, u := range r.runs {
+		u.cancel(errHandedOver)
+		delete(r.runs, id)
+	}
+	r.mu.Unlock()
+	pause.For(ctx, handOverDelay)
+}
+
 // Stop cancels all runs. It returns when their remaining output is in the journal
 // or ctx is done.
 func (m *Manager) Stop(ctx context.Context) {
--- a/lagoonlink/internal/ownership/ownership.go
+++ b/lagoonlink/internal/ownership/ownership.go
@@ -34,6 +34,11 @@
 	Lease  time.Duration
 	// Candidate decides whether this VM should be a member.
 	Candidate candidacy.Candidate
+	// HandsOver reports whether this VM can't do the work of its partitions and another one
+	// can, so that it leaves the group until that changes; HandOver is called before. They
+	// may be nil.
+	HandsOver func(ctx context.Context) bool
+	HandOver  func(ctx context.Context)
 	Logger    *event.Logger
 }
 
@@ -48,6 +53,8 @@
 	// the owners were last queried, by the clock of package uptime.
 	member    bool
 	checkedAt time.Duration
+	// handedOver reports whether this VM left the group because of Config.HandsOver.
+	handedOver bool
 	// renewedAt is when the newest successful join was started, by the clock of
 	// package uptime.
 	renewedAt time.Duration
@@ -99,10 +106,7 @@
 	defer tick.Stop()
 	failing, startedAt := false, uptime.Now()
 	for {
-		err := o.updateCandidacy(ctx, uptime.Now()-startedAt)
-		if err == nil && o.member {
-			err = o.join(ctx)
-		}
+		err := o.renew(ctx, uptime.Now()-startedAt)
 		if err != nil && !failing && ctx.Err() == nil {
 			o.config.Logger.Write(event.MembershipLost, event.Fields{"Group": o.config.Group, "Error": err})
 		}
@@ -118,6 +122,27 @@
 	}
 }
 
+// renew renews the membership, unless this VM should not be a member.
+func (o *Owner) renew(ctx context.Context, sinceStart time.Duration) error {
+	if handsOver := o.config.HandsOver != nil && o.config.HandsOver(ctx); handsOver != o.handedOver {
+		o.handedOver = handsOver
+		o.config.Logger.Write(event.JobsHandedOver, event.Fields{"Member": !handsOver, "Partitions": len(o.Current().Partitions)})
+		if handsOver {
+			o.config.HandOver(ctx)
+			o.setAssignment(rollout.Assignment{Generation: o.Current().Generation})
+			return o.config.Groups.Leave(ctx, o.membership())
+		}
+	}
+	if o.handedOver {
+		return nil
+	}
+	err := o.updateCandidacy(ctx, sinceStart)
+	if err == nil && o.member {
+		err = o.join(ctx)
+	}
+	return err
+}
+
 // updateCandidacy checks once per lease whether this VM should be a member, and
 // leaves the group if it should not.
 func (o *Owner) updateCandidacy(ctx context.Context, sinceStart time.Duration) error {
--- a/lagoonlink/internal/ownership/ownership_test.go
+++ b/lagoonlink/internal/ownership/ownership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,12 +25,19 @@
 // startWithCapacity starts an Owner on a VM with the given capacity in thousandths
 // of a core.
 func startWithCapacity(t *testing.T, s *standin.Store, vm rollout.VMName, name string, capacity int) *ownership.Owner {
+	t.Helper()
+	return startWithHandOver(t, s, vm, name, capacity, &atomic.Bool{}, func(context.Context) {})
+}
+
+// startWithHandOver starts an Owner that hands its partitions over while handsOver is set.
+func startWithHandOver(t *testing.T, s *standin.Store, vm rollout.VMName, name string, capacity int, handsOver *atomic.Bool, handOver func(context.Context)) *ownership.Owner {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	o := ownership.New(ownership.Config{
 		VM: vm, Groups: s.ForVM(vm), Group: name, Topics: []string{"jobs"}, Lease: 40 * time.Millisecond,
 		Candidate: candidacy.Candidate{Capacity: capacity, Partitions: 4}, Logger: event.NewLogger(log),
+		HandsOver: func(context.Context) bool { return handsOver.Load() }, HandOver: handOver,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -89,6 +97,24 @@
 		}
 		assert.Equal(t, "partitions", len(o.Current().Partitions), 4)
 	})
+	t.Run("hands its partitions over while it can't do their work", func(t *testing.T) {
+		s := standin.NewStore(4)
+		var handsOver atomic.Bool
+		var owned atomic.Int64
+		var o *ownership.Owner
+		o = startWithHandOver(t, s, "a", "g", 0, &handsOver, func(context.Context) { owned.Store(int64(len(o.Current().Partitions))) })
+		waitForPartitions(t, o, 4)
+		other := startWithCapacity(t, s, "b", "g", 0)
+		waitForPartitions(t, other, 2)
+		waitForPartitions(t, o, 2)
+		handsOver.Store(true)
+		waitForPartitions(t, other, 4)
+		waitForPartitions(t, o, 0)
+		// What the runs have generated is stored before another VM can own them.
+		assert.Equal(t, "partitions owned while the work is stored", owned.Load(), 2)
+		handsOver.Store(false)
+		waitForPartitions(t, o, 2)
+	})
 	t.Run("owns nothing after leaving", func(t *testing.T) {
 		o := start(t, standin.NewStore(4), "g")
 		waitForPartitions(t, o, 4)
