service: bound the response bodies that are read at the same time

Cause: on the own face each response of a plain service had its limit of 8 MiB, but nothing bounded all of them together. The platform's face has such a bound (MaxBufferedBytes).

--- a/lagoonlink/internal/vm/vm.go
+++ b/lagoonlink/internal/vm/vm.go
@@ -81,7 +81,7 @@
 	}
 	v := &VM{settings: s, logger: event.NewLogger(newLogger(s.Log)), inForce: &inforce.Holder{}}
 	scope, handler := v.newMetrics()
-	serverClient := httpclient.New(httpclient.Config{ConnectTimeout: connectTimeout, MaxIdlePerServer: maxIdlePerServer})
+	serverClient := httpclient.New(httpclient.Config{ConnectTimeout: connectTimeout, MaxIdlePerServer: maxIdlePerServer, MaxBufferedBytes: int64(s.Limits.ResponseBytes)})
 	controlClient := httpclient.New(httpclient.Config{ConnectTimeout: connectTimeout, MaxIdlePerServer: maxIdleControl})
 	v.platform = platform.New(controlClient,
 		platform.Addresses{Log: s.Platform.Log, Weights: s.Platform.Weights, VMs: s.Platform.VMs})
--- a/rollout/service/service.go
+++ b/rollout/service/service.go
@@ -73,7 +73,7 @@
 	if f := httpclient.Refusal(response); f != nil {
 		return rollout.CallResponse{}, rollout.Wrapf(f, "call %s", address)
 	}
-	body, err := httpclient.ReadAll(response.Body, MaxResponseBytes)
+	body, err := a.client.ReadBody(response.Body, MaxResponseBytes)
 	if err != nil {
 		return rollout.CallResponse{}, rollout.Wrapf(err, "read response from %s", address)
 	}
--- a/rollout/service/service_test.go
+++ b/rollout/service/service_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +35,45 @@
 	assert.Equal(t, "response", got, rollout.CallResponse{Status: http.StatusTeapot, ContentType: "text/plain", Body: []byte("PUT/a?b=c9")})
 }
 
+// TestBodiesWithoutEndShareOneLimit guards against servers whose bodies never end and which
+// together use up the memory of the VM.
+func TestBodiesWithoutEndShareOneLimit(t *testing.T) {
+	const limit = 1 << 20
+	var sent atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, "listen", err)
+	defer l.Close()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = conn.Read(make([]byte, 4096))
+				block := make([]byte, 64<<10)
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+				for n := 0; err == nil; {
+					n, err = conn.Write(block)
+					sent.Add(int64(n))
+				}
+			}()
+		}
+	}()
+	a := service.New(httpclient.New(httpclient.Config{MaxBufferedBytes: limit}))
+	var calls sync.WaitGroup
+	for n := range 16 {
+		calls.Go(func() {
+			_, err := a.Call(t.Context(), l.Addr().String(), rollout.Call{Method: "GET", Path: "/", ID: fmt.Sprint(n)})
+			assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.MayHaveRun)
+		})
+	}
+	calls.Wait()
+	// Beside the limit, the kernel's buffers of 16 connections hold bytes.
+	assert.AtMost(t, "bytes that the servers could send", sent.Load(), 16*service.MaxResponseBytes/2)
+}
+
 // TestNeverSentTwice guards against automatic retries, which HTTP clients commonly
 // make if the server closes a reused connection before it responds. The server does
 // so for the second call, and the test counts the requests that arrive.
