jobs, engine: give up texts without end

Cause: each event is bounded, but not their number: the text of a sample or of a completion grew as long as its server sent events.

Change: a text that is longer than one call to the store takes (2 MiB; 4 MiB for a completion) ends its run as a failure of the server, and another server begins it anew.

TestTextWithoutEnd in engine and job.

--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -444,6 +444,26 @@
 	d.readComplete(t, "a", s)
 }
 
+// TestTextWithoutEndIsGivenUp guards against servers whose events never end and use up the
+// memory of the VM: another server begins the text anew.
+func TestTextWithoutEndIsGivenUp(t *testing.T) {
+	d := deploy(t, 1<<30, 0, "a")
+	d.submit(t, "a", newJob("endless", 1, 1))
+	begun := func() (n int) {
+		for _, r := range d.engines.History("endless-0") {
+			if r.After == 0 {
+				n++
+			}
+		}
+		return n
+	}
+	for end := time.Now().Add(testTimeout); begun() < 2; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("runs from the start: got %d, want 2", begun())
+		}
+	}
+}
+
 func TestVersionsReachEngines(t *testing.T) {
 	d := deploy(t, 5, time.Millisecond, "a", "b")
 	for v := rollout.WeightVersion(2); v <= 4; v++ {
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -54,6 +54,8 @@
 
 var errStaleWeights = errors.New("the server's weights are too old")
 
+var errTextWithoutEnd = errors.New("the text is longer than any text is")
+
 // pieceTimeoutError is a time-out, by which those who observe servers tell it from the end of
 // a run for another reason.
 type pieceTimeoutError struct{}
@@ -496,6 +498,10 @@
 		if t.constrain() || t.progress.Add(piece) != job.Keep {
 			return errStaleWeights
 		}
+		if t.progress.TooLong() {
+			t.progress.Discard()
+			return rollout.Fail(rollout.MayHaveRun, rollout.ReasonServerFailed, errTextWithoutEnd)
+		}
 		t.meter.CountPiece(time.Now())
 		t.checkpoint()
 		if t.acquireFaster(ctx, grant) || t.moves < maxMoves && t.runner.isSlow(grant.Target(), &t.meter) {
--- a/rollout/engine/engine.go
+++ b/rollout/engine/engine.go
@@ -28,6 +28,9 @@
 const (
 	maxEventBytes  = 1 << 20
 	maxReportBytes = 1 << 20
+	// maxTextBytes limits the text of one response. An engine that sends more is faulty and
+	// may never end.
+	maxTextBytes = 4 << 20
 	// lineBufferBytes is the size of the read buffer of a streamed response.
 	lineBufferBytes = 4 << 10
 )
@@ -141,6 +144,8 @@
 	cancel context.CancelFunc
 	// finished reports whether the last piece was read.
 	finished bool
+	// textBytes is the length of the text so far.
+	textBytes int
 	// idleTimer cancels the request if no event was received for idleTimeout.
 	idleTimer   *time.Timer
 	idleTimeout time.Duration
@@ -201,6 +206,9 @@
 	if len(e.Choices) != 1 || e.Tokens < 0 {
 		return rollout.Piece{}, fmt.Errorf("event has %d choices and %d tokens, expected 1 choice and no negative number of tokens", len(e.Choices), e.Tokens)
 	}
+	if r.textBytes += len(e.Choices[0].Text); r.textBytes > maxTextBytes {
+		return rollout.Piece{}, fmt.Errorf("the text is longer than %d bytes", maxTextBytes)
+	}
 	p := rollout.Piece{Text: e.Choices[0].Text, Tokens: e.Tokens, Version: rollout.WeightVersion(e.WeightVersion)}
 	if f := e.Choices[0].FinishReason; f != nil {
 		p.Finish = *f
--- a/rollout/engine/engine_test.go
+++ b/rollout/engine/engine_test.go
@@ -95,6 +95,20 @@
 	assert.Equal(t, "text", text, "ab")
 }
 
+// TestTextWithoutEnd guards against engines whose events never end.
+func TestTextWithoutEnd(t *testing.T) {
+	address := startRawServer(t, func(c net.Conn) {
+		readRequest(c)
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+		for block := event("one", strings.Repeat("x", 1000), 1, ""); err == nil; {
+			_, err = io.WriteString(c, block)
+		}
+	})
+	text, err := generate(t.Context(), address)
+	assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.MayHaveRun)
+	assert.AtMost(t, "bytes of text", len(text), 4<<20)
+}
+
 // TestFailureVerdicts checks the verdict and reason for each kind of engine failure.
 func TestFailureVerdicts(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
--- a/rollout/job/progress.go
+++ b/rollout/job/progress.go
@@ -77,6 +77,13 @@
 	return true
 }
 
+// maxTextBytes is the length of the longest text that is kept. One call to the store takes
+// no more; a server that sends more is faulty and may never end.
+const maxTextBytes = 2 << 20
+
+// TooLong reports whether the text so far is longer than any text is.
+func (p *Progress) TooLong() bool { return len(p.text) > maxTextBytes }
+
 // Discard drops the text so far, so that any server may begin it again.
 func (p *Progress) Discard() { p.text, p.pieces, p.versions, p.whole = nil, 0, nil, false }
 
--- a/rollout/job/progress_test.go
+++ b/rollout/job/progress_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -84,6 +85,19 @@
 	return m
 }
 
+// TestTextWithoutEnd guards against servers whose events never end.
+func TestTextWithoutEnd(t *testing.T) {
+	p := job.NewProgress(job.Constraints{MinVersion: 1})
+	text := strings.Repeat("x", 1000)
+	for n := 0; !p.TooLong(); n++ {
+		p.Add(rollout.Piece{Text: text, Version: 1})
+		assert.AtMost(t, "pieces", n, 3000)
+	}
+	assert.AtMost(t, "pieces of an ordinary text", 1000, p.Pieces())
+	p.Discard()
+	assert.True(t, "the next server begins anew", !p.TooLong())
+}
+
 func TestPace(t *testing.T) {
 	var p job.Pace
 	assert.True(t, "no run is slow before any run was observed", !p.Slow(meterOf(0, 100, time.Hour)))
