relay: refuse at a planned stop what may outlast it

Cause: a stopping VM takes requests until the load balancer has noticed, and ends those in progress at the end of the grace; a request that may last longer than what is left of it was taken too.

Change: while it stops, a VM refuses, not run, a request whose deadline lies behind its end, so that the caller asks another VM.

TestStoppingVMRefusesWhatMayOutlastIt.

--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -207,6 +208,8 @@
 	peers     *forwarding.Server
 	listener  Listener
 	stopping  chan struct{}
+	// stopsAt is when a stopping VM ends the requests that are still in progress.
+	stopsAt atomic.Pointer[time.Time]
 }
 
 // New returns an entry VM that is not running yet.
@@ -253,7 +256,7 @@
 	g.newDuties()
 	relayConfig := relay.Config{
 		InForce: inForce, Dispatch: g.dispatch, Forwarder: gate, Origins: g.origins, Incarnations: incarnations, Revocation: c.Revocation, ConfigurationAge: g.fleet.ConfigurationAge,
-		TenantLabels: tenantLabels, Logger: c.Logger, Metrics: c.Metrics,
+		StopsAt: g.stopTime, TenantLabels: tenantLabels, Logger: c.Logger, Metrics: c.Metrics,
 	}
 	if g.usage != nil && c.Duties.ReportsUsage {
 		relayConfig.Usage = g.usage
@@ -344,6 +347,14 @@
 	}
 }
 
+// stopTime returns when a stopping VM ends, or the zero time.
+func (g *Gateway) stopTime() time.Time {
+	if end := g.stopsAt.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 // Run runs the VM until a termination signal arrives, a task fails or the context
 // ends.
 func (g *Gateway) Run(parent context.Context) error {
@@ -469,6 +480,8 @@
 
 func (g *Gateway) stop(ctx context.Context) {
 	started := time.Now()
+	end := started.Add(g.config.Grace - graceMargin)
+	g.stopsAt.Store(&end)
 	g.logDrain(event.Draining, started, nil)
 	close(g.stopping)
 	g.listener.Drain()
@@ -481,7 +494,7 @@
 	cancel()
 	g.owner.Leave(ctx)
 	pause.For(ctx, drainNotice-time.Since(started))
-	shutdownCtx, cancel := context.WithTimeout(ctx, g.config.Grace-graceMargin-time.Since(started))
+	shutdownCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	var servers errgroup.Group
 	servers.Go(func() error { return g.listener.Shutdown(shutdownCtx) })
--- a/lagoonlink/internal/relay/relay.go
+++ b/lagoonlink/internal/relay/relay.go
@@ -64,6 +64,9 @@
 	Peers rollout.PeerForwarder
 	// Incarnations confirms the servers that continue streams.
 	Incarnations *incarnation.Checker
+	// StopsAt returns when this VM ends and its connections with it, or the zero time while it
+	// is not stopping. It may be nil.
+	StopsAt func() time.Time
 	// Revocation states how removed API keys are treated.
 	Revocation tenancy.Policy
 	// ConfigurationAge returns the time for which the configuration in force may have been
@@ -154,11 +157,27 @@
 		relay: r, request: q, route: route, start: start, verdict: rollout.NotRun, began: q.Counted,
 		fingerprint: request.Fingerprint(xxh3.HashString(q.Host+q.Target) ^ xxh3.Hash(q.Body)),
 	}
-	response, err := s.serve(ctx)
+	var response rollout.ForwardedResponse
+	err := s.checkStop(start.Add(timeout))
+	if err == nil {
+		response, err = s.serve(ctx)
+	}
 	r.record(s, response, err)
 	return response, err
 }
 
+// checkStop refuses a request that may be in progress when this VM ends: its caller would
+// lose the response and, unless the request may be repeated, could not ask for it again.
+func (s *servedRequest) checkStop(deadline time.Time) error {
+	if s.relay.config.StopsAt == nil {
+		return nil
+	}
+	if end := s.relay.config.StopsAt(); !end.IsZero() && deadline.After(end) {
+		return s.refusal(rollout.Refuse(rollout.ReasonDraining, "the VM ends in %s, before the request's deadline", time.Until(end).Round(time.Millisecond)))
+	}
+	return nil
+}
+
 // currentRoute returns the request's route under a configuration, or the one on which the
 // request arrived if that was removed since.
 func (s *servedRequest) currentRoute(v *inforce.View) rollout.Route {
--- a/lagoonlink/internal/relay/relay_test.go
+++ b/lagoonlink/internal/relay/relay_test.go
@@ -70,6 +70,12 @@
 
 // serve serves one request on a route of the given kind with scripted outcomes.
 func serve(t *testing.T, kind rollout.RouteKind, timeout time.Duration, script ...any) (rollout.ForwardedResponse, *scriptedForwarder, error) {
+	t.Helper()
+	return serveUntil(t, nil, kind, timeout, script...)
+}
+
+// serveUntil is serve on a VM that ends at a time.
+func serveUntil(t *testing.T, stopsAt func() time.Time, kind rollout.RouteKind, timeout time.Duration, script ...any) (rollout.ForwardedResponse, *scriptedForwarder, error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, "listen", err)
@@ -104,7 +110,7 @@
 	}
 	f := &scriptedForwarder{script: script}
 	r := relay.New(relay.Config{
-		InForce: inForce, Dispatch: d, Forwarder: f, Usage: f, Logger: logger, Metrics: tally.NoopScope,
+		InForce: inForce, Dispatch: d, Forwarder: f, Usage: f, StopsAt: stopsAt, Logger: logger, Metrics: tally.NoopScope,
 		Origins: origins.New(origins.Config{Journal: standin.NewStore(1).ForVM("a"), Logger: logger}),
 	})
 	matched, err := r.Route("h", "/x")
@@ -162,3 +168,37 @@
 	assert.Equal(t, "reason", rollout.FailureOf(err).Reason, rollout.ReasonNoConfiguration)
 	assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.NotRun)
 }
+
+// TestStoppingVMRefusesWhatMayOutlastIt guards against requests that are cut without an answer
+// at the end of a planned stop, among them some that may not be repeated.
+func TestStoppingVMRefusesWhatMayOutlastIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		stopsIn, timeout time.Duration
+		served           bool
+	}{
+		"not stopping":         {0, 5 * time.Second, true},
+		"ends before the stop": {5 * time.Second, time.Second, true},
+		"may outlast the stop": {time.Second, 5 * time.Second, false},
+		"has no deadline":      {time.Second, 0, false},
+		"the grace is over":    {-time.Second, time.Second, false},
+	} {
+		for _, kind := range []rollout.RouteKind{rollout.RouteIdempotent, rollout.RouteNonIdempotent} {
+			t.Run(name, func(t *testing.T) {
+				stopsAt := func() time.Time {
+					if c.stopsIn == 0 {
+						return time.Time{}
+					}
+					return time.Now().Add(c.stopsIn)
+				}
+				response, f, err := serveUntil(t, stopsAt, kind, c.timeout, ok)
+				if c.served {
+					assert.NoError(t, "serve", err)
+					assert.Equal(t, "status", response.Status, 200)
+					return
+				}
+				assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.NotRun)
+				assert.Equal(t, "attempts", len(f.servers), 0)
+			})
+		}
+	}
+}
