directory, reach: spread announcements, repeat probes of a starved VM

Cause: VMs that start together would append their announcements together, each 2 s: at 410 VMs 205 a second, where one partition takes 250.

Change: announcements each 3 to 5 s at random; a failed probe that took twice its time-out is repeated, and shows nothing if that goes on.

--- a/lagoonlink/internal/directory/directory.go
+++ b/lagoonlink/internal/directory/directory.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,12 +20,16 @@
 )
 
 const (
-	// announceInterval is the time between two announcements of a VM.
-	announceInterval = 2 * time.Second
+	// minInterval and maxInterval bound the time between two announcements of a VM. VMs that
+	// start together spread over it, because the store appends them one after the other.
+	minInterval = 3 * time.Second
+	maxInterval = 5 * time.Second
+	// maxStartDelay bounds the delay of the first announcement.
+	maxStartDelay = 500 * time.Millisecond
 	// window is how far back announcements are read: a VM may miss one.
-	window = 2 * announceInterval
+	window = 2 * maxInterval
 	// refreshInterval is the least time between two reads.
-	refreshInterval = 300 * time.Millisecond
+	refreshInterval = 500 * time.Millisecond
 	// retryDelay is the delay after a failed append.
 	retryDelay = 250 * time.Millisecond
 	// callTimeout limits a call to the journal.
@@ -84,17 +89,19 @@
 // Run announces this VM periodically and at each change until the context ends. It always
 // returns nil.
 func (d *Directory) Run(ctx context.Context) error {
-	tick := time.NewTicker(announceInterval)
-	defer tick.Stop()
+	pause.For(ctx, rand.N(maxStartDelay))
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	leaving := d.leaving
 	for ctx.Err() == nil {
 		if err := d.announce(ctx); err != nil && ctx.Err() == nil {
 			pause.For(ctx, retryDelay)
 			continue
 		}
+		timer.Reset(minInterval + rand.N(maxInterval-minInterval))
 		select {
 		case <-ctx.Done():
-		case <-tick.C:
+		case <-timer.C:
 		case <-d.config.Changed:
 		case <-leaving:
 			leaving = nil
--- a/lagoonlink/internal/forwarding/server.go
+++ b/lagoonlink/internal/forwarding/server.go
@@ -19,6 +19,8 @@
 	// defaultMaxBodyBytes limits callers' bodies while no operator's limit is known.
 	defaultMaxBodyBytes = 32 << 20
 	headerTimeout       = 2 * time.Second
+	// maxHeaderBytes limits the HTTP header, which holds nothing of the caller's request.
+	maxHeaderBytes = 4 << 10
 	// idleTimeout is above the time for which other VMs keep idle connections, so that they
 	// never send a request on one that this VM closes.
 	idleTimeout = time.Minute
@@ -66,7 +68,7 @@
 	if c.Admit != nil {
 		handler = c.Admit(handler)
 	}
-	s.http = &http.Server{Addr: c.Address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s.http = &http.Server{Addr: c.Address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return s
 }
 
--- a/lagoonlink/internal/reach/reach.go
+++ b/lagoonlink/internal/reach/reach.go
@@ -20,6 +20,10 @@
 const (
 	// queueSize is the capacity of the queue of probes. One decision makes fewer.
 	queueSize = 64
+	// starvedAfter is the time after which a failed probe only shows that this VM had no
+	// processor: probes fail sooner. It is repeated up to maxStarved times.
+	starvedAfter = 240 * time.Millisecond
+	maxStarved   = 3
 	// tickInterval is how often an isolated VM checks whether a probe is due.
 	tickInterval = 100 * time.Millisecond
 )
@@ -108,7 +112,7 @@
 			return nil
 		case s := <-w.probes:
 			group.Go(func() {
-				reached := w.config.Probe(ctx, s.Address)
+				reached := w.probe(ctx, s)
 				if ctx.Err() == nil {
 					w.probed(s, reached)
 				}
@@ -123,6 +127,21 @@
 	}
 }
 
+// probe reports whether a server accepts a connection. If this VM has no processor to tell,
+// the server counts as reached.
+func (w *Watcher) probe(ctx context.Context, s rollout.Server) bool {
+	for range maxStarved {
+		start := time.Now()
+		if w.config.Probe(ctx, s.Address) {
+			return true
+		}
+		if time.Since(start) < starvedAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // doubt records that a server gave no response.
 func (w *Watcher) doubt(s rollout.Server) {
 	w.mu.Lock()
