entry: refuse at once while this VM reaches no server

Change: the VM on the own face watches its attempts with the same decision (reach, isolation), logs events 840 and 841, and refuses at once, not run, while it reaches no server, so that callers ask another VM.

--- a/lagoonlink/internal/entry/entry.go
+++ b/lagoonlink/internal/entry/entry.go
@@ -43,6 +43,13 @@
 	Call(ctx context.Context, address string, b wire.Body) (wire.Body, error)
 }
 
+// Reach tells whether this VM reaches backend servers.
+type Reach interface {
+	Isolated(ctx context.Context) bool
+	// Observe records the outcome of an attempt.
+	Observe(ctx context.Context, s rollout.Server, err error)
+}
+
 // Config configures an Entry.
 type Config struct {
 	VM           rollout.VMName
@@ -56,6 +63,7 @@
 	Peers          Peers
 	Engine         rollout.Engine
 	Service        rollout.ServiceCaller
+	Reach          Reach
 	Identities     *identity.Issuer
 	Logger         *event.Logger
 	Metrics        tally.Scope
@@ -73,6 +81,10 @@
 	headerTimeout = "Lagoonlink-Timeout-Milliseconds"
 )
 
+// isolatedRetryAfter is the retry delay of a request that comes while this VM reaches no
+// server. Another VM may serve it at once.
+const isolatedRetryAfter = time.Second
+
 // writeTimeout bounds a write to a caller that does not read its response.
 const writeTimeout = 30 * time.Second
 
@@ -263,6 +275,9 @@
 // server was acquired.
 func (e *Entry) attempt(ctx context.Context, req dispatch.Request, run func(context.Context, *dispatch.Grant) (dispatch.Result, error)) (rollout.ServerName, error) {
 	queued := time.Now()
+	if e.config.Reach.Isolated(ctx) {
+		return "", rollout.Refuse(rollout.ReasonNoServer, "this VM reaches no backend server").WithRetryAfter(isolatedRetryAfter)
+	}
 	grant, err := e.config.Dispatch.Acquire(ctx, req)
 	if err != nil && rollout.FailureOf(err).Reason == rollout.ReasonNoServer && len(req.Requirements.Avoid) > 0 {
 		// Every server has been tried; one that failed may have recovered.
@@ -275,6 +290,7 @@
 	e.observe(req, "queue_seconds", time.Since(queued))
 	result, err := run(ctx, grant)
 	grant.Done(result)
+	e.config.Reach.Observe(ctx, grant.Server, err)
 	return grant.Server.Name, err
 }
 
--- a/lagoonlink/internal/reach/reach.go
+++ b/lagoonlink/internal/reach/reach.go
@@ -35,7 +35,9 @@
 	// Probe reports whether a new connection to an address is established.
 	Probe func(ctx context.Context, address string) bool
 	// Seed makes VMs probe different servers first.
-	Seed      int
+	Seed int
+	// Forwarder, Engine and Scorer send requests. They may be nil if all attempts are
+	// reported to Observe.
 	Forwarder rollout.Forwarder
 	Engine    rollout.SampleEngine
 	Scorer    rollout.SampleScorer
@@ -215,9 +217,9 @@
 	return out
 }
 
-// observe records the outcome of an attempt that has not received the header of a response
-// if err is set.
-func (w *Watcher) observe(ctx context.Context, s rollout.Server, err error) {
+// Observe records the outcome of an attempt that has not received the header of a response
+// if err is set. The context is that of the attempt.
+func (w *Watcher) Observe(ctx context.Context, s rollout.Server, err error) {
 	if err != nil && noResponse(ctx, err) {
 		w.doubt(s)
 	}
@@ -238,7 +240,7 @@
 // Forward implements rollout.Forwarder.
 func (w *Watcher) Forward(ctx context.Context, s rollout.Server, r rollout.ForwardedRequest) (rollout.ForwardedResponse, error) {
 	response, err := w.config.Forwarder.Forward(ctx, s, r)
-	w.observe(ctx, s, err)
+	w.Observe(ctx, s, err)
 	if response.Stream != nil {
 		response.Stream = &watchedStream{ResponseStream: response.Stream, watcher: w, ctx: ctx, server: s}
 	}
@@ -248,7 +250,7 @@
 // Sample implements rollout.SampleEngine.
 func (w *Watcher) Sample(ctx context.Context, s rollout.Server, r rollout.SampleRequest) (rollout.PieceReader, error) {
 	reader, err := w.config.Engine.Sample(ctx, s, r)
-	w.observe(ctx, s, err)
+	w.Observe(ctx, s, err)
 	if err != nil {
 		return nil, err
 	}
@@ -258,7 +260,7 @@
 // Score implements rollout.SampleScorer.
 func (w *Watcher) Score(ctx context.Context, s rollout.Server, r rollout.ScoreRequest) (string, error) {
 	score, err := w.config.Scorer.Score(ctx, s, r)
-	w.observe(ctx, s, err)
+	w.Observe(ctx, s, err)
 	return score, err
 }
 
@@ -291,7 +293,7 @@
 func (p *watchedPieces) Next() (rollout.Piece, error) {
 	piece, err := p.PieceReader.Next()
 	if err != nil && !errors.Is(err, io.EOF) {
-		p.watcher.observe(p.ctx, p.server, err)
+		p.watcher.Observe(p.ctx, p.server, err)
 	}
 	return piece, err
 }
--- a/lagoonlink/internal/vm/vm.go
+++ b/lagoonlink/internal/vm/vm.go
@@ -11,6 +11,7 @@
 	"encoding/hex"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/signal"
@@ -33,6 +34,7 @@
 	"lagoonlink.org/lagoonlink/internal/orders"
 	"lagoonlink.org/lagoonlink/internal/pause"
 	"lagoonlink.org/lagoonlink/internal/peer"
+	"lagoonlink.org/lagoonlink/internal/reach"
 	"lagoonlink.org/lagoonlink/internal/settings"
 	"lagoonlink.org/lagoonlink/internal/status"
 	"lagoonlink.org/rollout"
@@ -68,6 +70,7 @@
 	orders   *orders.Orders
 	entry    *entry.Entry
 	status   *status.Server
+	reach    *reach.Watcher
 	closers  []io.Closer
 }
 
@@ -103,9 +106,10 @@
 		Dispatch: v.dispatch, InForce: v.inForce, Roster: v.node.Roster, Logger: v.logger, WeightsEvery: s.Timing.WeightsEvery,
 		Lease: s.Timing.Lease, Guard: s.Timing.Guard, ReportsPerSecond: s.Limits.ReportsASecond,
 	})
+	v.reach = reach.New(reach.Config{Zone: rollout.Zone(s.VM.Zone), InForce: v.inForce, Probe: httpclient.Connects, Seed: rand.IntN(1 << 20), Logger: v.logger, Metrics: scope})
 	v.entry = entry.New(entry.Config{
 		VM: rollout.VMName(s.VM.Name), Address: s.Listen.Callers, MaxBodyBytes: s.Limits.BodyBytes, RequestTimeout: s.Timing.Request,
-		InForce: v.inForce, Dispatch: v.dispatch, Holder: v.holder, Peers: v.node, Engine: engines, Service: service.New(serverClient),
+		InForce: v.inForce, Dispatch: v.dispatch, Holder: v.holder, Peers: v.node, Engine: engines, Service: service.New(serverClient), Reach: v.reach,
 		Identities: identity.New(rollout.VMName(s.VM.Name), uint64(time.Now().UnixNano())), Logger: v.logger, Metrics: scope,
 	})
 	v.status = status.New(status.Config{
@@ -229,6 +233,7 @@
 		"orders":     v.orders.Run,
 		"list":       v.pollVMList,
 		"entry":      v.entry.Run,
+		"reach":      v.reach.Run,
 		"status":     v.status.Run,
 	}
 }
