directory: know the VMs that announced themselves before this one

What callers saw: at a VM that reached no server in its first seconds, every request was refused, though other VMs reached servers.

Cause: announcements were read from the VM's own first one on; others came again after up to 5 s.

Change: a VM without an announcement of its own that is old enough reads 2,048 records before its first one as well, and believes what is at most 15 s old by the clocks.

TestPeers has a case that failed before.

--- a/lagoonlink/internal/directory/announcement.go
+++ b/lagoonlink/internal/directory/announcement.go
@@ -26,6 +26,9 @@
 	Form int
 	// Reaches reports whether the VM reaches backend servers.
 	Reaches bool
+	// At is when the VM announced itself, in Unix milliseconds by its own clock. Only a VM that
+	// has just started uses it.
+	At int64
 	// Leaving reports whether the VM is stopping and takes no further requests.
 	Leaving bool `cbor:",omitempty"`
 }
--- a/lagoonlink/internal/directory/directory.go
+++ b/lagoonlink/internal/directory/directory.go
@@ -28,6 +28,10 @@
 	maxStartDelay = 500 * time.Millisecond
 	// window is how far back announcements are read: a VM may miss one.
 	window = 2 * maxInterval
+	// startBacklog is the number of records that a VM that has just started reads before its
+	// first own one, and startAge the age up to which it believes them: clocks differ.
+	startBacklog = 2048
+	startAge     = window + 5*time.Second
 	// refreshInterval is the least time between two reads.
 	refreshInterval = 500 * time.Millisecond
 	// retryDelay is the delay after a failed append.
@@ -111,7 +115,7 @@
 }
 
 func (d *Directory) announce(ctx context.Context) error {
-	a := announcement{VM: d.config.VM, Zone: d.config.Zone, Address: d.config.Address, Form: Form, Reaches: d.config.Reaches()}
+	a := announcement{VM: d.config.VM, Zone: d.config.Zone, Address: d.config.Address, Form: Form, Reaches: d.config.Reaches(), At: time.Now().UnixMilli()}
 	select {
 	case <-d.leaving:
 		a.Leaving = true
@@ -158,15 +162,19 @@
 	d.mu.Lock()
 	now := time.Now()
 	fresh, known := now.Sub(d.refreshedAt) < refreshInterval, len(d.own) > 0
-	var from rollout.Offset
+	var oldest ownRecord
 	if known {
-		from = d.own[0].offset
+		oldest = d.own[0]
 	}
 	d.mu.Unlock()
 	if fresh || !known {
 		return
 	}
-	newest, err := d.read(ctx, from)
+	from := oldest.offset
+	if now.Sub(oldest.at) < window {
+		from -= min(from, startBacklog)
+	}
+	newest, err := d.read(ctx, from, oldest.offset)
 	d.reportStatus(err)
 	if err != nil {
 		return
@@ -183,8 +191,9 @@
 	d.peers, d.refreshedAt = peers, now
 }
 
-// read returns the newest announcement of each VM from an offset on.
-func (d *Directory) read(ctx context.Context, from rollout.Offset) (map[rollout.VMName]announcement, error) {
+// read returns the newest announcement of each VM from an offset on. Those before the offset
+// recent count only if they are recent by the clocks.
+func (d *Directory) read(ctx context.Context, from, recent rollout.Offset) (map[rollout.VMName]announcement, error) {
 	newest := map[rollout.VMName]announcement{}
 	for {
 		result, err := d.config.Journal.Read(ctx, partition, from, maxReadBytes, 0)
@@ -203,6 +212,9 @@
 				d.config.Logger.Write(event.RecordUnreadable, event.Fields{"Feed": partition, "Key": r.Offset, "Error": err})
 				continue
 			}
+			if r.Offset < recent && time.Since(time.UnixMilli(a.At)).Abs() > startAge {
+				continue
+			}
 			newest[a.VM] = a
 		}
 		if len(result.Records) == 0 || from >= result.Next {
--- a/lagoonlink/internal/directory/directory_test.go
+++ b/lagoonlink/internal/directory/directory_test.go
@@ -40,6 +40,8 @@
 	for len(s.Records(partition)) == before {
 		time.Sleep(time.Millisecond)
 	}
+	// The offset is known a moment after the record is there.
+	time.Sleep(20 * time.Millisecond)
 	return d
 }
 
@@ -85,6 +87,13 @@
 			assert.True(t, "peers", slices.Equal(got, c.want))
 		})
 	}
+	t.Run("VMs that announced themselves before this one started", func(t *testing.T) {
+		s := standin.NewStore(1)
+		say(t, s, b(map[string]any{"VM": "c", "At": time.Now().Add(-time.Minute).UnixMilli()}))
+		say(t, s, b(map[string]any{"At": time.Now().Add(-4 * time.Second).UnixMilli()}))
+		got := start(t, s, "a").Peers(t.Context())
+		assert.True(t, "peers", slices.Equal(got, []isolation.Peer{known}))
+	})
 	t.Run("the last known ones while the store is away", func(t *testing.T) {
 		s := standin.NewStore(1)
 		d := start(t, s, "a")
