forwarding: bound the connections and stalled requests of hops

Cause: requests of other VMs had a lease of memory, but their connections weren't admitted: they cost nothing in the account, their number had no bound, and a stalled one that was chosen for eviction could not be closed, so that its memory stayed in use and nothing else was evicted in its place.

Change: the internal port is served through the listener of the account, as the callers' port is.

--- a/lagoonlink/internal/forwarding/forwarding_test.go
+++ b/lagoonlink/internal/forwarding/forwarding_test.go
@@ -96,6 +96,28 @@
 	}
 }
 
+// TestDeadlinesAreKept guards against servers that work on a request for longer than its caller
+// waits because it came over a hop.
+func TestDeadlinesAreKept(t *testing.T) {
+	const timeout = 600 * time.Millisecond
+	s := newSite(t)
+	a, _ := s.startVM(t, "a", rollout.RouteNonIdempotent, 1), s.startVM(t, "b", rollout.RouteNonIdempotent, 1)
+	a.state.Store(refused)
+	assert.True(t, "isolated", awaitIsolated(a))
+	s.setHandler(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	start := time.Now()
+	_, err := a.call(t.Context(), "id", timeout)
+	assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.MayHaveRun)
+	assert.AtMost(t, "milliseconds", time.Since(start).Milliseconds(), timeout.Milliseconds())
+	// The server gets the time that is left, less the margins of two VMs.
+	left := s.deadlineOf("id").Sub(start)
+	assert.AtMost(t, "milliseconds that the server has", left.Milliseconds(), timeout.Milliseconds())
+	assert.True(t, fmt.Sprintf("the server has most of the time: %s", left), left > timeout/2)
+}
+
 // TestVMsThatAreGoneArePassedOver: they are still announced, but nothing is sent to them.
 func TestVMsThatAreGoneArePassedOver(t *testing.T) {
 	s := newSite(t)
--- a/lagoonlink/internal/forwarding/server.go
+++ b/lagoonlink/internal/forwarding/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"lagoonlink.org/lagoonlink/internal/admission"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/httpclient"
@@ -33,21 +34,13 @@
 	Serve(ctx context.Context, request rollout.ForwardedRequest, route rollout.Route, wait time.Duration) (rollout.ForwardedResponse, error)
 }
 
-// Memory bounds the memory of requests and responses.
-type Memory interface {
-	requestbody.Memory
-	// Respond replaces the reservation by one of n bytes for the response.
-	Respond(ctx context.Context, n int) error
-}
-
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Address  string
 	InForce  *inforce.Holder
 	Requests Requests
-	Memory   Memory
-	// Admit gives each request its share of memory; nil means no limits.
-	Admit func(http.Handler) http.Handler
+	// Admission bounds the memory of requests, responses and connections.
+	Admission *admission.Controller
 }
 
 // Server takes requests of other VMs.
@@ -64,11 +57,11 @@
 // NewServer returns a Server that is not listening yet.
 func NewServer(c ServerConfig) *Server {
 	s := &Server{config: c, stopped: make(chan struct{})}
-	var handler http.Handler = http.HandlerFunc(s.handle)
-	if c.Admit != nil {
-		handler = c.Admit(handler)
+	s.http = &http.Server{
+		Addr: c.Address, Handler: c.Admission.Handler(http.HandlerFunc(s.handle)),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: c.Admission.ConnContext, ConnState: c.Admission.ConnState,
 	}
-	s.http = &http.Server{Addr: c.Address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return s
 }
 
@@ -79,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.config.Admission.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	<-ctx.Done()
@@ -114,7 +107,7 @@
 	}
 	response, err := s.serve(r)
 	if err == nil && response.Stream == nil {
-		if memoryErr := s.config.Memory.Respond(r.Context(), len(response.Body)); memoryErr != nil {
+		if memoryErr := s.config.Admission.Respond(r.Context(), len(response.Body)); memoryErr != nil {
 			// A server has answered, whatever the refusal of memory says.
 			err = rollout.Fail(rollout.MayHaveRun, rollout.ReasonOverloaded, memoryErr)
 		}
@@ -151,7 +144,7 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	message, err := requestbody.Read(r, limit+maxHeadBytes+lengthBytes, s.config.Memory)
+	message, err := requestbody.Read(r, limit+maxHeadBytes+lengthBytes, s.config.Admission)
 	if err != nil {
 		return rollout.ForwardedResponse{}, err
 	}
--- a/lagoonlink/internal/forwarding/vm_test.go
+++ b/lagoonlink/internal/forwarding/vm_test.go
@@ -51,15 +51,19 @@
 	// runs counts the runs of each request, canceled those whose caller left.
 	runs     map[string]int
 	canceled map[string]bool
+	// deadlines holds the deadline with which each request was last sent to a server.
+	deadlines map[string]time.Time
 	// handle replaces the servers' handler.
 	handle http.HandlerFunc
+	// memoryBytes is the memory of the VMs that are started.
+	memoryBytes int64
 }
 
 func newSite(t *testing.T) *site {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := &site{store: standin.NewStore(1), logger: event.NewLogger(log), runs: map[string]int{}, canceled: map[string]bool{}}
+	s := &site{store: standin.NewStore(1), logger: event.NewLogger(log), runs: map[string]int{}, canceled: map[string]bool{}, deadlines: map[string]time.Time{}, memoryBytes: 64 << 20}
 	for n := range 3 {
 		server := httptest.NewServer(http.HandlerFunc(s.serve))
 		t.Cleanup(server.Close)
@@ -99,6 +103,19 @@
 	return s.runs[id]
 }
 
+// sent records the deadline with which a request is sent to a server.
+func (s *site) sent(id string, deadline time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadlines[id] = deadline
+}
+
+func (s *site) deadlineOf(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deadlines[id]
+}
+
 func (s *site) wasCanceled(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,11 +124,15 @@
 
 // paths forwards requests to servers unless the VM is cut off from them.
 type paths struct {
+	site   *site
 	client *httpclient.Client
 	state  atomic.Int32
 }
 
 func (p *paths) Forward(ctx context.Context, s rollout.Server, r rollout.ForwardedRequest) (rollout.ForwardedResponse, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		p.site.sent(r.ID, deadline)
+	}
 	switch p.state.Load() {
 	case refused:
 		return rollout.ForwardedResponse{}, rollout.Fail(rollout.NotRun, rollout.ReasonServerFailed, errors.New("connection refused"))
@@ -141,12 +162,12 @@
 // vm is an entry VM of a site.
 type vm struct {
 	*paths
-	site    *site
 	relay   *relay.Relay
 	inForce *inforce.Holder
 	server  *forwarding.Server
 	store   *standin.Client
 	route   rollout.Route
+	address string
 	stop    context.CancelFunc
 }
 
@@ -157,7 +178,7 @@
 	assert.NoError(t, "listen", err)
 	address := l.Addr().String()
 	assert.NoError(t, "close", l.Close())
-	v := &vm{paths: &paths{client: httpclient.New(httpclient.Config{MaxBufferedBytes: 1 << 20})}, site: s, inForce: &inforce.Holder{}, store: s.store.ForVM(rollout.VMName(name))}
+	v := &vm{paths: &paths{site: s, client: httpclient.New(httpclient.Config{MaxBufferedBytes: 1 << 20})}, inForce: &inforce.Holder{}, store: s.store.ForVM(rollout.VMName(name)), address: address}
 	v.route = rollout.Route{Name: "r", Host: "h", Prefix: "/", Kind: kind, Objective: 50 * time.Millisecond, MaxAttempts: 2, Splits: []rollout.Split{{Service: "s"}}}
 	v.inForce.Set(&inforce.View{
 		Version: 1, Configuration: rollout.Configuration{Services: []rollout.Service{{Name: "s", Servers: s.servers, MaxConcurrency: 8}}},
@@ -176,8 +197,8 @@
 		Origins: origins.New(origins.Config{Journal: v.store, Logger: s.logger}),
 		Peers:   forwarding.NewClient(forwarding.ClientConfig{Zone: "z", HTTP: v.client, Reach: w, Directory: dir}),
 	})
-	admit := admission.New(admission.Config{Limits: memory.Derive(64<<20, 1000), Logger: s.logger, Metrics: tally.NoopScope})
-	v.server = forwarding.NewServer(forwarding.ServerConfig{Address: address, InForce: v.inForce, Requests: v.relay, Memory: admit, Admit: admit.Handler})
+	admit := admission.New(admission.Config{Limits: memory.Derive(s.memoryBytes, 1000), Logger: s.logger, Metrics: tally.NoopScope})
+	v.server = forwarding.NewServer(forwarding.ServerConfig{Address: address, InForce: v.inForce, Requests: v.relay, Admission: admit})
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	v.stop = sync.OnceFunc(func() {
@@ -206,7 +227,11 @@
 	}
 }
 
-// call sends a request to the VM.
+// call sends a request with a small body to the VM.
 func (v *vm) call(ctx context.Context, id string, timeout time.Duration) (rollout.ForwardedResponse, error) {
-	return v.relay.Serve(ctx, rollout.ForwardedRequest{ID: id, Method: "POST", Host: "h", Target: "/x?y=1", Body: []byte("body of " + id)}, v.route, timeout)
+	return v.send(ctx, id, []byte("body of "+id), timeout)
+}
+
+func (v *vm) send(ctx context.Context, id string, body []byte, timeout time.Duration) (rollout.ForwardedResponse, error) {
+	return v.relay.Serve(ctx, rollout.ForwardedRequest{ID: id, Method: "POST", Host: "h", Target: "/x?y=1", Body: body}, v.route, timeout)
 }
--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -266,7 +266,7 @@
 	}
 	requests := relay.New(relayConfig)
 	if g.reach != nil {
-		g.peers = forwarding.NewServer(forwarding.ServerConfig{Address: c.InternalAddress, InForce: inForce, Requests: requests, Memory: c.Admission, Admit: c.Admission.Handler})
+		g.peers = forwarding.NewServer(forwarding.ServerConfig{Address: c.InternalAddress, InForce: inForce, Requests: requests, Admission: c.Admission})
 	}
 	g.listener = c.NewListener(requests, g.manager, g.ready)
 	return g
