hop: take the form of messages between VMs out of forwarding

Cause: the hop of the own face needs the same heads, lengths and failures as that of the platform's face.

Change: moved to a package of its own, with the limit of a head as a parameter. Nothing else changes.

--- a/lagoonlink/internal/forwarding/client.go
+++ b/lagoonlink/internal/forwarding/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"lagoonlink.org/lagoonlink/internal/hop"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/httpclient"
 	"lagoonlink.org/rollout/isolation"
@@ -73,7 +74,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		head.TimeLeft = max(1, (time.Until(deadline) - wayMargin).Milliseconds())
 	}
-	message, err := encodeHead(&head)
+	message, err := hop.EncodeHead(&head, hop.MaxHeadBytes)
 	if err != nil {
 		return rollout.ForwardedResponse{}, rollout.Fail(rollout.NotRun, rollout.ReasonTooLarge, err)
 	}
@@ -98,7 +99,7 @@
 	var head responseHead
 	err := fmt.Errorf("status %d", response.StatusCode)
 	if response.StatusCode == http.StatusOK {
-		err = readHead(response.Body, &head)
+		err = hop.ReadHead(response.Body, &head, hop.MaxHeadBytes)
 	}
 	if err != nil {
 		_ = response.Body.Close()
@@ -112,7 +113,7 @@
 	defer response.Body.Close()
 	out.Body, err = c.config.HTTP.ReadBody(response.Body, maxResponseBytes)
 	if head.Failure != nil {
-		err = head.Failure.err()
+		err = head.Failure.Err()
 	}
 	if err != nil {
 		return rollout.ForwardedResponse{}, err
--- a/lagoonlink/internal/forwarding/server.go
+++ b/lagoonlink/internal/forwarding/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lagoonlink.org/lagoonlink/internal/admission"
+	"lagoonlink.org/lagoonlink/internal/hop"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/httpclient"
@@ -114,9 +115,9 @@
 	}
 	head := responseHead{Status: response.Status, Header: response.Header, Streamed: response.Stream != nil}
 	if err != nil {
-		head, response = responseHead{Failure: newFailure(err)}, rollout.ForwardedResponse{}
+		head, response = responseHead{Failure: hop.NewFailure(err)}, rollout.ForwardedResponse{}
 	}
-	message, err := encodeHead(&head)
+	message, err := hop.EncodeHead(&head, hop.MaxHeadBytes)
 	if err == nil {
 		_, err = w.Write(message)
 	}
@@ -144,7 +145,7 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	message, err := requestbody.Read(r, limit+maxHeadBytes+lengthBytes, s.config.Admission)
+	message, err := requestbody.Read(r, limit+hop.MaxHeadBytes+hop.LengthBytes, s.config.Admission)
 	if err != nil {
 		return rollout.ForwardedResponse{}, err
 	}
@@ -152,7 +153,7 @@
 		return rollout.ForwardedResponse{}, rollout.Refuse(rollout.ReasonDraining, "the VM is stopping")
 	}
 	var head requestHead
-	body, err := splitHead(message, &head)
+	body, err := hop.SplitHead(message, &head)
 	if err != nil {
 		return rollout.ForwardedResponse{}, rollout.Refuse(rollout.ReasonPeerUnreachable, "%v", err)
 	}
