engine: let an attempt at a silent engine fail as the engine's

Cause: the timer of silence cancels the context of the request, and an error after that has the reason of a caller that left: it isn't retried, doesn't count against the server, and gives a VM that lost its paths to all engines no reason for doubt.

Evidence: TestSilentEngineFailsTheAttempt got Canceled on the code before. The older test of an engine without a response passed because its client has a time-out of its own for the head, which the daemon's has not.

Change: if the timer has fired and the caller has not left, the failure is the server's; the verdict stays that of the connection.

--- a/rollout/engine/engine.go
+++ b/rollout/engine/engine.go
@@ -103,12 +103,15 @@
 	if err != nil {
 		return nil, rollout.Fail(rollout.NotRun, rollout.ReasonBadRequest, err)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	idleCtx, cancel := context.WithCancel(ctx)
 	idleTimer := time.AfterFunc(a.idleTimeout, cancel)
-	response, err := a.post(ctx, address, PathCompletions, body)
+	response, err := a.post(idleCtx, address, PathCompletions, body)
 	if err != nil {
-		idleTimer.Stop()
+		silent := !idleTimer.Stop() && ctx.Err() == nil
 		cancel()
+		if silent {
+			err = rollout.Fail(rollout.VerdictOf(err), rollout.ReasonServerFailed, fmt.Errorf("no response for %s: %w", a.idleTimeout, err))
+		}
 		return nil, rollout.Wrapf(err, "generate on %s", address)
 	}
 	return &pieceReader{id: g.ID, body: response.Body, events: httpclient.NewEventReader(response.Body, lineBufferBytes, maxEventBytes), cancel: cancel, idleTimer: idleTimer, idleTimeout: a.idleTimeout}, nil
--- a/rollout/engine/engine_test.go
+++ b/rollout/engine/engine_test.go
@@ -169,6 +169,19 @@
 	})
 }
 
+// TestSilentEngineFailsTheAttempt guards against engines that hang and whose failure looks like
+// the caller's departure, so that it is neither retried nor noticed.
+func TestSilentEngineFailsTheAttempt(t *testing.T) {
+	address := startRawServer(t, func(c net.Conn) {
+		readRequest(c)
+		<-t.Context().Done()
+	})
+	silent := engine.New(httpclient.New(httpclient.Config{ConnectTimeout: time.Second}), 100*time.Millisecond)
+	_, err := silent.Generate(t.Context(), address, rollout.Generation{ID: "one", Model: "m", Prompt: "p", MaxTokens: 9})
+	assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.MayHaveRun)
+	assert.Equal(t, "reason", rollout.FailureOf(err).Reason, rollout.ReasonServerFailed)
+}
+
 // TestConnectionOfPartialResponseIsNotReused closes a response before its end and
 // expects the next request to use a new connection.
 func TestConnectionOfPartialResponseIsNotReused(t *testing.T) {
