attempt: make attempts of the own face through another VM

Cause: the hop of the platform's face passes whole requests, which the own face can't: retries, streams, identities and steps have their state at the first VM. So it had only the refusal.

Evidence: with the hop left out, which is the code before, TestIsolatedVMsMakeAttemptsThroughOthers fails at its first call (NoServer).

Change: entry and holder make each attempt through package attempt, here or, while no server is reached, at another VM: one server, whose name comes back, one hop. Everything above the attempt stays where it is. A VM that is cut off asks up to 16 VMs whether they reach servers; a build without the hop answers 404 and gets nothing. Orders of weights pass with their fencing token and the end of their lease. Bodies are held within the new setting Limits.PeerBytes.

Result: callers (completions, streams, calls, calls with an identity sent twice), a trainer's step and orders at a VM without a path are served; verdict, attempts, deadline, cancellation, loss of the other VM, memory and older builds have a test each, with -race.

--- a/lagoonlink/internal/entry/completions.go
+++ b/lagoonlink/internal/entry/completions.go
@@ -14,8 +14,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/zeebo/xxh3"
 
+	"lagoonlink.org/lagoonlink/internal/attempt"
 	"lagoonlink.org/lagoonlink/internal/dispatch"
-	"lagoonlink.org/lagoonlink/internal/holder"
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/engine"
@@ -125,14 +125,8 @@
 }
 
 // attempt makes one attempt, which continues where the previous one ended.
-func (m *completion) attempt(ctx context.Context, grant *dispatch.Grant) (dispatch.Result, error) {
-	start, tokensBefore := time.Now(), m.tokens
-	err := m.generate(ctx, grant)
-	return holder.ResultOf(ctx, err, time.Since(start), m.tokens-tokensBefore), err
-}
-
-func (m *completion) generate(ctx context.Context, grant *dispatch.Grant) error {
-	r, err := m.entry.config.Engine.Generate(ctx, grant.Server.Address, rollout.Generation{
+func (m *completion) attempt(ctx context.Context, a *attempt.Attempt) error {
+	r, err := a.Generate(ctx, rollout.Generation{
 		ID:          m.id,
 		Model:       rollout.ModelName(m.request.Model),
 		Prompt:      m.request.Prompt,
--- a/lagoonlink/internal/entry/entry.go
+++ b/lagoonlink/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/uber-go/tally/v4"
 
+	"lagoonlink.org/lagoonlink/internal/attempt"
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/holder"
@@ -43,13 +44,6 @@
 	Call(ctx context.Context, address string, b wire.Body) (wire.Body, error)
 }
 
-// Reach tells whether this VM reaches backend servers.
-type Reach interface {
-	Isolated(ctx context.Context) bool
-	// Observe records the outcome of an attempt.
-	Observe(ctx context.Context, s rollout.Server, err error)
-}
-
 // Config configures an Entry.
 type Config struct {
 	VM           rollout.VMName
@@ -58,12 +52,9 @@
 	// RequestTimeout is the maximum duration of a request.
 	RequestTimeout time.Duration
 	InForce        *inforce.Holder
-	Dispatch       *dispatch.Dispatcher
+	Attempts       *attempt.Maker
 	Holder         *holder.Holder
 	Peers          Peers
-	Engine         rollout.Engine
-	Service        rollout.ServiceCaller
-	Reach          Reach
 	Identities     *identity.Issuer
 	Logger         *event.Logger
 	Metrics        tally.Scope
@@ -81,10 +72,6 @@
 	headerTimeout = "Lagoonlink-Timeout-Milliseconds"
 )
 
-// isolatedRetryAfter is the retry delay of a request that comes while this VM reaches no
-// server. Another VM may serve it at once.
-const isolatedRetryAfter = time.Second
-
 // writeTimeout bounds a write to a caller that does not read its response.
 const writeTimeout = 30 * time.Second
 
@@ -242,12 +229,12 @@
 }
 
 // runAttempts makes attempts until one succeeds or the retry policy of package
-// request stops. Each attempt acquires a server and calls run.
-func (e *Entry) runAttempts(ctx context.Context, r request.Request, req dispatch.Request, run func(context.Context, *dispatch.Grant) (dispatch.Result, error)) error {
+// request stops. Each attempt calls run.
+func (e *Entry) runAttempts(ctx context.Context, r request.Request, req dispatch.Request, run func(context.Context, *attempt.Attempt) error) error {
 	e.withBudget(func(b *request.Budget) { b.Deposit() })
 	for {
 		req.Requirements.Avoid = r.Avoid
-		server, err := e.attempt(ctx, req, run)
+		server, begun, err := e.attempt(ctx, req, run)
 		if err == nil {
 			return nil
 		}
@@ -255,8 +242,8 @@
 		if f.Reason != rollout.ReasonCanceled {
 			e.config.Logger.Write(event.RequestFailed, event.Fields{"Server": server, "Tenant": req.Tenant, "Attempt": r.Attempts + 1, "Error": err})
 		}
-		if server == "" {
-			// No server was acquired, so the rejection goes to the caller. attempt has
+		if !begun {
+			// Nothing took the request, so the rejection goes to the caller. Package attempt has
 			// already handled the case that every server of a pool was tried.
 			return r.Final(f)
 		}
@@ -271,27 +258,18 @@
 	}
 }
 
-// attempt acquires a server and calls run with it. The server name is empty if no
-// server was acquired.
-func (e *Entry) attempt(ctx context.Context, req dispatch.Request, run func(context.Context, *dispatch.Grant) (dispatch.Result, error)) (rollout.ServerName, error) {
+// attempt makes one attempt. It returns the server, if that is known, and whether the attempt
+// has begun.
+func (e *Entry) attempt(ctx context.Context, req dispatch.Request, run func(context.Context, *attempt.Attempt) error) (server rollout.ServerName, begun bool, err error) {
 	queued := time.Now()
-	if e.config.Reach.Isolated(ctx) {
-		return "", rollout.Refuse(rollout.ReasonNoServer, "this VM reaches no backend server").WithRetryAfter(isolatedRetryAfter)
-	}
-	grant, err := e.config.Dispatch.Acquire(ctx, req)
-	if err != nil && rollout.FailureOf(err).Reason == rollout.ReasonNoServer && len(req.Requirements.Avoid) > 0 {
-		// Every server has been tried; one that failed may have recovered.
-		req.Requirements.Avoid = nil
-		grant, err = e.config.Dispatch.Acquire(ctx, req)
-	}
+	a, err := e.config.Attempts.Begin(ctx, req)
 	if err != nil {
-		return "", err
+		return "", false, err
 	}
 	e.observe(req, "queue_seconds", time.Since(queued))
-	result, err := run(ctx, grant)
-	grant.Done(result)
-	e.config.Reach.Observe(ctx, grant.Server, err)
-	return grant.Server.Name, err
+	err = run(ctx, a)
+	a.End(ctx, err)
+	return a.Server(), !a.Refused(), err
 }
 
 // latencyBuckets are upper bounds; the metrics report them in seconds.
--- a/lagoonlink/internal/entry/isolated_test.go
+++ b/lagoonlink/internal/entry/isolated_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lagoonlink.org/lagoonlink/internal/attempt"
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/rollout"
@@ -28,12 +29,12 @@
 	log.SetOutput(io.Discard)
 	for name, mayHaveRun := range map[string]bool{"first attempt": false, "after an attempt that may have run": true} {
 		t.Run(name, func(t *testing.T) {
-			e := &Entry{config: Config{Reach: isolated{}, Logger: event.NewLogger(log)}, budget: request.NewBudget()}
+			e := &Entry{config: Config{Attempts: attempt.NewMaker(attempt.Config{Reach: isolated{}}), Logger: event.NewLogger(log)}, budget: request.NewBudget()}
 			start := time.Now()
 			err := e.runAttempts(t.Context(), request.Request{Idempotent: true, MayHaveRun: mayHaveRun, Deadline: start.Add(time.Minute)}, dispatch.Request{},
-				func(context.Context, *dispatch.Grant) (dispatch.Result, error) {
+				func(context.Context, *attempt.Attempt) error {
 					t.Error("got an attempt, want none")
-					return dispatch.Result{}, nil
+					return nil
 				})
 			want := rollout.NotRun
 			if mayHaveRun {
--- a/lagoonlink/internal/entry/services.go
+++ b/lagoonlink/internal/entry/services.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/zeebo/xxh3"
 
+	"lagoonlink.org/lagoonlink/internal/attempt"
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/identity"
 	"lagoonlink.org/lagoonlink/internal/inforce"
@@ -116,36 +117,15 @@
 	}
 	var response rollout.CallResponse
 	start := time.Now()
-	err := e.runAttempts(ctx, request.Request{Idempotent: idempotent, Deadline: deadline}, req, func(ctx context.Context, grant *dispatch.Grant) (dispatch.Result, error) {
-		var r dispatch.Result
-		sent := time.Now()
+	err := e.runAttempts(ctx, request.Request{Idempotent: idempotent, Deadline: deadline}, req, func(ctx context.Context, a *attempt.Attempt) error {
 		var err error
-		response, err = e.config.Service.Call(ctx, grant.Server.Address, call)
-		r.Outcome = callOutcome(ctx, err, time.Since(sent))
-		r.ConnectionLost = r.Failed && rollout.VerdictOf(err) == rollout.MayHaveRun
-		return r, err
+		response, err = a.Call(ctx, call)
+		return err
 	})
 	e.observe(req, "request_seconds", time.Since(start))
 	return response, err
 }
 
-// callOutcome returns what the placement learns from an attempt. A call that the
-// caller canceled says nothing about the server.
-func callOutcome(ctx context.Context, err error, duration time.Duration) placement.Outcome {
-	if err == nil {
-		return placement.Outcome{SecondsPerUnit: duration.Seconds()}
-	}
-	if isCanceled(ctx) {
-		return placement.Outcome{}
-	}
-	f := rollout.FailureOf(err)
-	return placement.Outcome{
-		Failed:  f.Reason != rollout.ReasonDraining && f.Reason != rollout.ReasonServerRefused,
-		Refused: f.Reason == rollout.ReasonServerRefused,
-		Leaving: f.Reason == rollout.ReasonDraining,
-	}
-}
-
 // callWithIdentity runs a call with an identity, on this VM or on the one that
 // issued the identity.
 func (e *Entry) callWithIdentity(ctx context.Context, encoded string, caller rollout.Caller, s rollout.Service, call rollout.Call) (rollout.CallResponse, error) {
--- a/lagoonlink/internal/holder/holder.go
+++ b/lagoonlink/internal/holder/holder.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/xxh3"
 
+	"lagoonlink.org/lagoonlink/internal/attempt"
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
 	"lagoonlink.org/lagoonlink/internal/inforce"
@@ -34,8 +35,7 @@
 	// DisableHedging disables second attempts at slow samples.
 	DisableHedging bool
 	InForce        *inforce.Holder
-	Dispatch       *dispatch.Dispatcher
-	Engine         rollout.Engine
+	Attempts       *attempt.Maker
 	Logger         *event.Logger
 	Metrics        tally.Scope
 }
@@ -320,7 +320,7 @@
 	st.cancels[s.Attempt] = cancel
 	g := st.step.Plan().Groups[s.Group]
 	prefix := xxh3.HashString(g.Prompt)
-	a := attempt{
+	r := run{
 		holder: h,
 		key:    key,
 		id:     s.Attempt,
@@ -343,13 +343,13 @@
 		},
 	}
 	if s.Avoid != "" {
-		a.req.Requirements.Avoid = []rollout.ServerName{s.Avoid}
+		r.req.Requirements.Avoid = []rollout.ServerName{s.Avoid}
 	}
-	go a.run(ctx)
+	go r.run(ctx)
 }
 
-// attempt runs one generation and reports its progress and result to the Holder.
-type attempt struct {
+// run runs one generation and reports its progress and result to the Holder.
+type run struct {
 	holder     *Holder
 	key        rollout.StepKey
 	id         sample.AttemptID
@@ -361,73 +361,44 @@
 // delay keeps a failed sample from being retried immediately on a failing pool.
 const maxFailureDelay = 200 * time.Millisecond
 
-func (a *attempt) run(ctx context.Context) {
-	err := a.generate(ctx)
+func (r *run) run(ctx context.Context) {
+	err := r.generate(ctx)
 	if err == nil {
-		a.send(sample.Finished{Attempt: a.id})
+		r.send(sample.Finished{Attempt: r.id})
 		return
 	}
 	if ctx.Err() != nil {
 		return
 	}
-	a.holder.config.Logger.Write(event.RequestFailed, event.Fields{"Step": a.key.String(), "Error": err})
+	r.holder.config.Logger.Write(event.RequestFailed, event.Fields{"Step": r.key.String(), "Error": err})
 	wait := time.NewTimer(maxFailureDelay/4 + time.Duration(rand.Int64N(int64(maxFailureDelay*3/4))))
 	defer wait.Stop()
 	select {
 	case <-wait.C:
 	case <-ctx.Done():
 	}
-	a.send(sample.Failed{Attempt: a.id})
+	r.send(sample.Failed{Attempt: r.id})
 }
 
 // send sends an event of the step to Run, or drops it if Run has ended.
-func (a *attempt) send(e sample.Event) {
+func (r *run) send(e sample.Event) {
 	select {
-	case a.holder.messages <- eventMessage{a.key, e}:
-	case <-a.holder.runCtx.Done():
+	case r.holder.messages <- eventMessage{r.key, e}:
+	case <-r.holder.runCtx.Done():
 	}
 }
 
-func (a *attempt) generate(ctx context.Context) error {
-	grant, err := a.holder.config.Dispatch.Acquire(ctx, a.req)
-	if err != nil && rollout.FailureOf(err).Reason == rollout.ReasonNoServer && a.req.Requirements.Avoid != nil {
-		// Only servers to be avoided are left; use one of them rather than fail.
-		a.req.Requirements.Avoid = nil
-		grant, err = a.holder.config.Dispatch.Acquire(ctx, a.req)
-	}
+func (r *run) generate(ctx context.Context) error {
+	a, err := r.holder.config.Attempts.Begin(ctx, r.req)
 	if err != nil {
 		return err
 	}
-	a.send(sample.Started{Attempt: a.id, Server: grant.Server.Name})
-	start := time.Now()
-	tokens, err := a.streamPieces(ctx, grant)
-	grant.Done(ResultOf(ctx, err, time.Since(start), tokens))
-	return err
-}
-
-// ResultOf returns the result of a generation that ran for elapsed and ended
-// with err. An error after the context ended counts neither as a success nor as a
-// failure of the server.
-func ResultOf(ctx context.Context, err error, elapsed time.Duration, tokens int) dispatch.Result {
-	var r dispatch.Result
-	if err == nil {
-		r.SecondsPerUnit = elapsed.Seconds() / float64(max(tokens, 1))
-		return r
+	if a.Server() != "" {
+		r.send(sample.Started{Attempt: r.id, Server: a.Server()})
 	}
-	if ctx.Err() != nil {
-		return r
-	}
-	f := rollout.FailureOf(err)
-	switch {
-	case f.Reason == rollout.ReasonDraining:
-		r.Leaving = true
-	case f.Reason == rollout.ReasonServerRefused:
-		r.Refused = true
-	default:
-		r.Failed = true
-		r.ConnectionLost = f.Verdict == rollout.MayHaveRun
-	}
-	return r
+	err = r.streamPieces(ctx, a)
+	a.End(ctx, err)
+	return err
 }
 
 // progressInterval is the minimum interval between progress reports of an
@@ -435,32 +406,35 @@
 // first reports the pending ones, so that merged pieces have one version.
 const progressInterval = 50 * time.Millisecond
 
-// streamPieces reads the engine's response, reports its pieces as progress and
-// returns the number of tokens received.
-func (a *attempt) streamPieces(ctx context.Context, grant *dispatch.Grant) (int, error) {
-	r, err := a.holder.config.Engine.Generate(ctx, grant.Server.Address, a.generation)
+// streamPieces reads the engine's response and reports its pieces as progress.
+func (r *run) streamPieces(ctx context.Context, a *attempt.Attempt) error {
+	known := a.Server() != ""
+	reader, err := a.Generate(ctx, r.generation)
 	if err != nil {
-		return 0, err
+		return err
+	}
+	defer reader.Close()
+	if !known {
+		r.send(sample.Started{Attempt: r.id, Server: a.Server()})
 	}
-	defer r.Close()
 	var pending rollout.Piece
 	var lastVersion rollout.WeightVersion
-	tokens, lastFlush := 0, time.Now()
+	lastFlush := time.Now()
 	flush := func() {
 		if pending.Tokens > 0 || pending.Text != "" {
-			a.send(sample.Progressed{Attempt: a.id, Piece: pending})
+			r.send(sample.Progressed{Attempt: r.id, Piece: pending})
 		}
 		pending, lastFlush = rollout.Piece{Version: pending.Version}, time.Now()
 	}
 	for {
-		p, err := r.Next()
+		p, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			flush()
-			return tokens, nil
+			return nil
 		}
 		if err != nil {
 			flush()
-			return tokens, err
+			return err
 		}
 		if p.Tokens > 0 && p.Version != pending.Version {
 			flush()
@@ -468,9 +442,8 @@
 		}
 		if p.Tokens > 0 && p.Version != lastVersion {
 			lastVersion = p.Version
-			grant.ObserveVersion(a.req.Requirements.Model, p.Version)
+			a.ObserveVersion(p.Version)
 		}
-		tokens += p.Tokens
 		pending.Text += p.Text
 		pending.Tokens += p.Tokens
 		if time.Since(lastFlush) > progressInterval {
--- a/lagoonlink/internal/peer/link.go
+++ b/lagoonlink/internal/peer/link.go
@@ -152,7 +152,7 @@
 func (p *linkPool) dial(ctx context.Context, address string) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
-	header := http.Header{headerProof: {newProof(p.node.config.Keys[0], address, time.Now())}}
+	header := http.Header{headerProof: {p.node.proof(address)}}
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+pathPeer, &websocket.DialOptions{HTTPHeader: header})
 	if err != nil {
 		return nil, err
@@ -281,7 +281,10 @@
 		return rollout.Wrapf(err, "listen for peers on %s", n.config.Address)
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc(pathPeer, func(w http.ResponseWriter, r *http.Request) { n.accept(ctx, w, r) })
+	mux.Handle(pathPeer, n.authenticated(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.accept(ctx, w, r) })))
+	for path, h := range n.config.Handlers {
+		mux.Handle(path, n.authenticated(h))
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: dialTimeout}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
@@ -305,12 +308,28 @@
 	}
 }
 
+// Authorize adds the proof of a key to a request to the peer at an address.
+func (n *Node) Authorize(r *http.Request, address string) {
+	r.Header.Set(headerProof, n.proof(address))
+}
+
+func (n *Node) proof(address string) string {
+	return newProof(n.config.Keys[0], address, time.Now())
+}
+
+// authenticated returns a handler that rejects requests without the proof of a key.
+func (n *Node) authenticated(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := verifyProof(n.config.Keys, n.config.Address, r.Header.Get(headerProof), time.Now()); err != nil {
+			n.config.Logger.Write(event.PeerRejected, event.Fields{"From": r.RemoteAddr, "Error": err})
+			http.Error(w, "unauthorized", http.StatusUnauthorized)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (n *Node) accept(ctx context.Context, w http.ResponseWriter, r *http.Request) {
-	if err := verifyProof(n.config.Keys, n.config.Address, r.Header.Get(headerProof), time.Now()); err != nil {
-		n.config.Logger.Write(event.PeerRejected, event.Fields{"From": r.RemoteAddr, "Error": err})
-		http.Error(w, "unauthorized", http.StatusUnauthorized)
-		return
-	}
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return
--- a/lagoonlink/internal/peer/node.go
+++ b/lagoonlink/internal/peer/node.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,9 @@
 	OnFacts func(from membership.Member, f membership.Facts)
 	// HandleRequest returns the response to a peer's request.
 	HandleRequest func(ctx context.Context, b wire.Body) wire.Body
+	// Handlers serve further paths of the peers' port, to callers that have proved that they
+	// hold a key.
+	Handlers map[string]http.Handler
 }
 
 type receivedProbe struct {
--- a/lagoonlink/internal/settings/settings.go
+++ b/lagoonlink/internal/settings/settings.go
@@ -71,6 +71,7 @@
 	QueuedPerTenant int `yaml:"QueuedPerTenant" doc:"Most of those of one tenant."`
 	BodyBytes       int `yaml:"BodyBytes" doc:"Largest request body in bytes."`
 	ResponseBytes   int `yaml:"ResponseBytes" doc:"Most bytes of response bodies of plain services that are held while they are read; further responses are broken off."`
+	PeerBytes       int `yaml:"PeerBytes" doc:"Most bytes of bodies that are held for other VMs, which reach no backend server themselves; further ones are refused."`
 	Ring            int `yaml:"Ring" doc:"Length of the bounded ring before each duty."`
 	ReportsASecond  int `yaml:"ReportsASecond" doc:"Load reports asked of engines each second while no weights change."`
 }
@@ -105,7 +106,7 @@
 	return Settings{
 		Listen: Listen{Callers: "0.0.0.0:8080", Peers: "0.0.0.0:8081", Operations: "0.0.0.0:8082"},
 		Log:    Log{Level: "info", Format: "text"},
-		Limits: Limits{QueuedPerClass: 16384, QueuedPerTenant: 8192, BodyBytes: 32 << 20, ResponseBytes: 128 << 20, Ring: 4096, ReportsASecond: 2},
+		Limits: Limits{QueuedPerClass: 16384, QueuedPerTenant: 8192, BodyBytes: 32 << 20, ResponseBytes: 128 << 20, PeerBytes: 128 << 20, Ring: 4096, ReportsASecond: 2},
 		Timing: Timing{
 			Notice:        5 * time.Second,
 			Drain:         10 * time.Minute,
@@ -168,6 +169,7 @@
 		checkRange("Limits.QueuedPerTenant", s.Limits.QueuedPerTenant, 1, 1<<20),
 		checkRange("Limits.BodyBytes", s.Limits.BodyBytes, 1<<10, 256<<20),
 		checkRange("Limits.ResponseBytes", s.Limits.ResponseBytes, 1<<20, 1<<40),
+		checkRange("Limits.PeerBytes", s.Limits.PeerBytes, 1<<20, 1<<40),
 		checkRange("Limits.Ring", s.Limits.Ring, 16, 1<<20),
 		checkRange("Limits.ReportsASecond", s.Limits.ReportsASecond, 1, 10000),
 		checkDuration("Timing.Notice", s.Timing.Notice, 0, time.Hour),
--- a/lagoonlink/internal/vm/vm.go
+++ b/lagoonlink/internal/vm/vm.go
@@ -23,6 +23,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"lagoonlink.org/lagoonlink/internal/attempt"
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/entry"
 	"lagoonlink.org/lagoonlink/internal/event"
@@ -42,6 +43,8 @@
 	"lagoonlink.org/rollout/engine"
 	"lagoonlink.org/rollout/fair"
 	"lagoonlink.org/rollout/httpclient"
+	"lagoonlink.org/rollout/isolation"
+	"lagoonlink.org/rollout/lifecycle"
 	"lagoonlink.org/rollout/membership"
 	"lagoonlink.org/rollout/placement"
 	"lagoonlink.org/rollout/platform"
@@ -55,6 +58,8 @@
 	connectTimeout   = 500 * time.Millisecond
 	maxIdlePerServer = 64
 	maxIdleControl   = 4
+	// peerLostAfter is how long another VM may leave data or keep-alive probes unacknowledged.
+	peerLostAfter = 3 * time.Second
 )
 
 // VM is one entry VM.
@@ -69,6 +74,7 @@
 	follower *follow.Follower
 	orders   *orders.Orders
 	entry    *entry.Entry
+	attempts *attempt.Server
 	status   *status.Server
 	reach    *reach.Watcher
 	closers  []io.Closer
@@ -90,26 +96,33 @@
 		platform.Addresses{Log: s.Platform.Log, Weights: s.Platform.Weights, VMs: s.Platform.VMs})
 	engines := engine.New(serverClient, s.Timing.Silence)
 	v.dispatch = dispatch.New(v.dispatchConfig())
-	v.holder = holder.New(holder.Config{
-		VM: rollout.VMName(s.VM.Name), QueueSize: s.Limits.Ring, StepIdle: s.Timing.StepIdle, DisableHedging: s.Bench.NoTwins,
-		InForce: v.inForce, Dispatch: v.dispatch, Engine: engines, Logger: v.logger, Metrics: scope,
-	})
+	v.reach = reach.New(reach.Config{Zone: rollout.Zone(s.VM.Zone), InForce: v.inForce, Probe: httpclient.Connects, Seed: rand.IntN(1 << 20), Logger: v.logger, Metrics: scope})
 	if v.node, err = peer.Listen(v.peerConfig(keys)); err != nil {
 		return nil, err
 	}
+	peers := attempt.NewClient(attempt.ClientConfig{
+		Zone: rollout.Zone(s.VM.Zone), VMs: v.otherVMs, HTTP: newPeerClient(s), Authorize: v.node.Authorize, Silence: s.Timing.Silence,
+		InForce: v.inForce, Logger: v.logger, Metrics: scope,
+	})
+	maker := attempt.NewMaker(attempt.Config{Dispatch: v.dispatch, Engine: engines, Service: service.New(serverClient), Reach: v.reach, Peers: peers})
+	control := attempt.NewControl(attempt.ControlConfig{Engine: engine.New(controlClient, s.Timing.Silence), Reach: v.reach, Peers: peers, InForce: v.inForce})
+	v.attempts = attempt.NewServer(attempt.ServerConfig{Maker: maker, Control: control, InForce: v.inForce, IsolatedNow: v.reach.IsolatedNow, MaxBytes: int64(s.Limits.PeerBytes)})
+	v.holder = holder.New(holder.Config{
+		VM: rollout.VMName(s.VM.Name), QueueSize: s.Limits.Ring, StepIdle: s.Timing.StepIdle, DisableHedging: s.Bench.NoTwins,
+		InForce: v.inForce, Attempts: maker, Logger: v.logger, Metrics: scope,
+	})
 	v.follower = follow.New(follow.Config{
 		VM: rollout.VMName(s.VM.Name), Zone: rollout.Zone(s.VM.Zone), Log: v.platform, Peers: v.node, InForce: v.inForce,
 		Logger: v.logger, SnapshotEvery: s.Timing.SnapshotEvery, Checks: configuration.Checks{VerifySignature: signatureCheck(s.Publish)},
 	})
 	v.orders = orders.New(orders.Config{
-		VM: rollout.VMName(s.VM.Name), Zone: rollout.Zone(s.VM.Zone), Log: v.platform, Weights: v.platform, Engine: engine.New(controlClient, s.Timing.Silence),
+		VM: rollout.VMName(s.VM.Name), Zone: rollout.Zone(s.VM.Zone), Log: v.platform, Weights: v.platform, Engine: control,
 		Dispatch: v.dispatch, InForce: v.inForce, Roster: v.node.Roster, Logger: v.logger, WeightsEvery: s.Timing.WeightsEvery,
 		Lease: s.Timing.Lease, Guard: s.Timing.Guard, ReportsPerSecond: s.Limits.ReportsASecond,
 	})
-	v.reach = reach.New(reach.Config{Zone: rollout.Zone(s.VM.Zone), InForce: v.inForce, Probe: httpclient.Connects, Seed: rand.IntN(1 << 20), Logger: v.logger, Metrics: scope})
 	v.entry = entry.New(entry.Config{
 		VM: rollout.VMName(s.VM.Name), Address: s.Listen.Callers, MaxBodyBytes: s.Limits.BodyBytes, RequestTimeout: s.Timing.Request,
-		InForce: v.inForce, Dispatch: v.dispatch, Holder: v.holder, Peers: v.node, Engine: engines, Service: service.New(serverClient), Reach: v.reach,
+		InForce: v.inForce, Attempts: maker, Holder: v.holder, Peers: v.node,
 		Identities: identity.New(rollout.VMName(s.VM.Name), uint64(time.Now().UnixNano())), Logger: v.logger, Metrics: scope,
 	})
 	v.status = status.New(status.Config{
@@ -172,7 +185,28 @@
 		OnSuspicions:  v.dispatch.MergeSuspicions,
 		OnFacts:       func(from membership.Member, f membership.Facts) { v.follower.QueueFacts(from, f) },
 		HandleRequest: v.handlePeerRequest,
+		// The server of attempts needs the node, so it is looked up when it is used.
+		Handlers: map[string]http.Handler{attempt.Path: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { v.attempts.ServeHTTP(w, r) })},
+	}
+}
+
+// newPeerClient returns the client for attempts through other VMs. It finds out by itself when
+// one of them is gone, because samples have no deadline.
+func newPeerClient(s settings.Settings) *httpclient.Client {
+	return httpclient.New(httpclient.Config{
+		ConnectTimeout: connectTimeout, MaxIdlePerServer: maxIdlePerServer, UnacknowledgedTimeout: peerLostAfter, MaxBufferedBytes: int64(s.Limits.ResponseBytes),
+	})
+}
+
+// otherVMs returns the other VMs that are alive.
+func (v *VM) otherVMs() []isolation.Peer {
+	var out []isolation.Peer
+	for _, m := range v.node.Members() {
+		if m.State == lifecycle.VMAlive {
+			out = append(out, isolation.Peer{VM: m.Name, Zone: m.Zone, Address: m.Address})
+		}
 	}
+	return out
 }
 
 func (v *VM) handlePeerRequest(ctx context.Context, b wire.Body) wire.Body {
@@ -307,6 +341,7 @@
 	}
 	v.logger.Write(event.Draining, event.Fields{"Active": v.entry.Active()})
 	v.status.SetReady(false)
+	v.attempts.Leave()
 	pause.For(ctx, v.settings.Timing.Notice)
 	v.node.Leave(ctx)
 	v.entry.Drain()
@@ -320,9 +355,9 @@
 // awaitIdle waits until no request is in progress, for at most Timing.Drain.
 func (v *VM) awaitIdle(ctx context.Context) {
 	deadline := time.Now().Add(v.settings.Timing.Drain)
-	for v.entry.Active() > 0 {
+	for v.entry.Active()+v.attempts.Active() > 0 {
 		if time.Now().After(deadline) {
-			v.logger.Write(event.DrainTimeout, event.Fields{"Active": v.entry.Active()})
+			v.logger.Write(event.DrainTimeout, event.Fields{"Active": v.entry.Active() + v.attempts.Active()})
 			return
 		}
 		pause.For(ctx, drainPollInterval)
