dispatch: suspect no samples of jobs after a crash

Cause: a server that ends while it runs samples made suspects of all of them for a minute, and suspects run one at a time on each server.

Change: requests that are known to be harmless are never suspected, and a crash is attributed to the others in flight. Requests of callers and scoring requests are treated as before.

Left as it was: the end of a leaving server still counts as a crash for callers' requests.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -93,6 +93,9 @@
 	// is owed although servers crashed while they ran it. It is never refused for that, but
 	// runs apart from other suspects.
 	Deferred bool
+	// Harmless reports whether the request is known not to crash servers: crashes while it
+	// runs are not attributed to it.
+	Harmless bool
 }
 
 // Grant is the permission to send one request to a server. Done must be called
--- a/lagoonlink/internal/dispatch/dispatch_test.go
+++ b/lagoonlink/internal/dispatch/dispatch_test.go
@@ -181,3 +181,37 @@
 		})
 	}
 }
+
+// TestSamplesAreNoSuspects guards against samples that run one at a time on each server because
+// a server was lost while it ran them.
+func TestSamplesAreNoSuspects(t *testing.T) {
+	d, _, _ := start(t, "a", "b")
+	sample := func(f request.Fingerprint) dispatch.Request {
+		req := newRequest(0, f)
+		req.Deferred, req.Harmless = true, true
+		return req
+	}
+	grants := map[request.Fingerprint]*dispatch.Grant{}
+	for f := range request.Fingerprint(8) {
+		g, err := acquire(t, d, sample(f), time.Second)
+		assert.NoError(t, "grant", err)
+		grants[f] = g
+	}
+	var lost []request.Fingerprint
+	for f, g := range grants {
+		if g.Server.Name == "a" {
+			lost = append(lost, f)
+			g.Done(dispatch.Result{ConnectionLost: true, Outcome: placement.Outcome{Failed: true}})
+			continue
+		}
+		g.Done(dispatch.Result{Outcome: placement.Outcome{SecondsPerUnit: 0.01}})
+	}
+	assert.Equal(t, "lost samples", len(lost), 4)
+	assert.Equal(t, "suspicions", len(d.Suspicions()), 0)
+	// Another VM may run an older build, which suspects them.
+	d.MergeSuspicions([]request.SharedSuspicion{{Fingerprint: lost[0], Crashes: 2, Convicted: true}, {Fingerprint: lost[1], Crashes: 1}})
+	for _, f := range lost {
+		_, err := acquire(t, d, sample(f), time.Second)
+		assert.NoError(t, "grant beside the others", err)
+	}
+}
--- a/lagoonlink/internal/dispatch/suspicions.go
+++ b/lagoonlink/internal/dispatch/suspicions.go
@@ -10,6 +10,9 @@
 
 // standing returns how a request is treated.
 func (d *Dispatcher) standing(now time.Time, r Request) request.Standing {
+	if r.Harmless {
+		return request.Clear
+	}
 	s := d.suspects.Standing(now, r.Fingerprint)
 	if s == request.Convicted && r.Deferred {
 		return request.Suspected
@@ -48,13 +51,16 @@
 	return out
 }
 
-// attributeCrash attributes a crash to all requests in flight on the server. They
-// all fail within a short time; only the first failure counts as a crash.
+// attributeCrash attributes a crash to all requests in flight on the server that may have
+// caused it. They all fail within a short time; only the first failure counts as a crash.
 func (d *Dispatcher) attributeCrash(now time.Time, ts *targetState, server rollout.ServerName, ended bool) {
 	var inFlight []request.InFlightRequest
 	for _, f := range ts.inFlight {
 		if f.server == server && !f.crashAttributed {
 			f.crashAttributed = true
+			if f.req.Harmless {
+				continue
+			}
 			inFlight = append(inFlight, request.InFlightRequest{Fingerprint: f.req.Fingerprint, Isolated: f.suspected})
 		}
 	}
--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -299,6 +299,8 @@
 		},
 		Tenant: u.submission.ID, Share: 1, Cost: float64(max(1, s.Length)),
 		Fingerprint: request.Fingerprint(xxh3.Hash(s.Body) ^ xxh3.HashString(s.Path)), Deferred: true,
+		// The platform's pages say so of the items of jobs.
+		Harmless: true,
 	}
 }
 
