request: share the newest suspicions with the other VMs

Cause: VMs tell each other at most eight suspicions, those with the lowest fingerprints. A VM that knew eight convictions with lower ones never announced a new one, so that each VM had to learn of that request by crashes of its own.

Change: the newest changes are shared first, and of the last 3 s withdrawals and convictions before the many suspicions that one crash makes.

--- a/lagoonlink/internal/dispatch/suspicions.go
+++ b/lagoonlink/internal/dispatch/suspicions.go
@@ -20,8 +20,8 @@
 	return s
 }
 
-// maxSharedSuspicions limits the number of suspicions sent with one probe.
-const maxSharedSuspicions = 8
+// maxSharedSuspicions limits the number of suspicions sent to other VMs at once.
+const maxSharedSuspicions = 32
 
 // MergeSuspicions merges suspicions received from other VMs.
 func (d *Dispatcher) MergeSuspicions(suspicions []request.SharedSuspicion) {
--- a/lagoonlink/internal/peer/node.go
+++ b/lagoonlink/internal/peer/node.go
@@ -36,8 +36,8 @@
 	// QueueSize is the capacity of the channel of received probes.
 	QueueSize int
 	Logger    *event.Logger
-	// Suspicions returns the suspicions to send with each probe; OnSuspicions
-	// receives those of peers.
+	// Suspicions returns the suspicions to send with each probe, the most important ones
+	// first; OnSuspicions receives those of peers.
 	Suspicions   func() []request.SharedSuspicion
 	OnSuspicions func([]request.SharedSuspicion)
 	// OnFacts receives the facts that a peer reports about itself.
@@ -175,6 +175,10 @@
 	return wire.Decode(plain, wire.MaxDatagramBytes, into)
 }
 
+// maxRumors limits the suspicions in a probe, which shares its datagram with updates of the
+// membership.
+const maxRumors = 8
+
 // tickInterval is the time between two ticks of the membership view.
 const tickInterval = 50 * time.Millisecond
 
@@ -254,7 +258,8 @@
 	if err != nil {
 		return
 	}
-	data, err := wire.Encode(&wire.Probe{Message: s.Message, Rumors: n.config.Suspicions()}, wire.MaxDatagramBytes)
+	rumors := n.config.Suspicions()
+	data, err := wire.Encode(&wire.Probe{Message: s.Message, Rumors: rumors[:min(maxRumors, len(rumors))]}, wire.MaxDatagramBytes)
 	if err != nil {
 		n.config.Logger.Write(event.ProbeRejected, event.Fields{"To": s.Address, "Error": err})
 		return
--- a/rollout/request/request_test.go
+++ b/rollout/request/request_test.go
@@ -189,6 +189,24 @@
 		}
 		assert.AtMost(t, "servers that three such requests crash", crashes, 9)
 	})
+	t.Run("a new conviction is shared beside many older and newer suspicions", func(t *testing.T) {
+		s := request.NewSuspects()
+		for f := request.Fingerprint(1); f <= 40; f++ {
+			s.Ended(start, "o", inFlight(false, f))
+			s.Ended(start.Add(time.Second), "p", inFlight(true, f))
+		}
+		now := start.Add(10 * time.Second)
+		s.Ended(now, "q", inFlight(false, 1000))
+		s.Ended(now.Add(time.Second), "r", inFlight(true, 1000))
+		var crowd []request.Fingerprint
+		for f := request.Fingerprint(100); f < 160; f++ {
+			crowd = append(crowd, f)
+		}
+		s.Ended(now.Add(1100*time.Millisecond), "s", inFlight(false, crowd...))
+		shared := s.Shared(now.Add(1200*time.Millisecond), 8)
+		assert.Equal(t, "suspicions", len(shared), 8)
+		assert.Equal(t, "first one", shared[0], request.SharedSuspicion{Fingerprint: 1000, Crashes: 2, Convicted: true})
+	})
 	t.Run("a conviction is merged on another VM", func(t *testing.T) {
 		a, b := request.NewSuspects(), request.NewSuspects()
 		a.Crashed(start, "j", inFlight(false, 1))
--- a/rollout/request/suspects.go
+++ b/rollout/request/suspects.go
@@ -44,6 +44,8 @@
 	// withdrawalDuration is how long a withdrawn suspicion is shared and suspicions of other
 	// VMs against the same fingerprint are ignored.
 	withdrawalDuration = 10 * time.Second
+	// urgentPeriod is the time within which a change reaches the other VMs in any case.
+	urgentPeriod = 3 * time.Second
 )
 
 type suspicion struct {
@@ -52,6 +54,8 @@
 	// own counts the crashes that this VM saw itself.
 	own   int
 	until time.Time
+	// changedAt is when crashes or standing last changed.
+	changedAt time.Time
 }
 
 // loss is the loss of one server with the fingerprints of the requests in flight there.
@@ -179,7 +183,7 @@
 		if e.crashes <= 0 {
 			delete(s.entries, f)
 		} else {
-			e.standing = Suspected
+			e.standing, e.changedAt = Suspected, now
 			s.entries[f] = e
 		}
 		if _, done := s.withdrawn[f]; !done {
@@ -218,6 +222,7 @@
 	}
 	e.crashes++
 	e.own++
+	e.changedAt = now
 	if isolated {
 		e.standing = Convicted
 		e.until = now.Add(convictionDuration << min(max(e.crashes-2, 0), maxConvictionDoublings))
@@ -239,24 +244,35 @@
 	Withdrawn bool `cbor:",omitempty"`
 }
 
-// Shared returns up to limit current suspicions to send to other VMs: the withdrawn ones
-// first, then convictions.
+// Shared returns up to limit current suspicions to send to other VMs, newest changes first. Of
+// the changes within urgentPeriod, withdrawals and convictions come before others: a crash may
+// make suspects of more requests than fit, before a conviction has been sent.
 func (s *Suspects) Shared(now time.Time, limit int) []SharedSuspicion {
-	var all []SharedSuspicion
+	type change struct {
+		SharedSuspicion
+		at     time.Time
+		urgent bool
+	}
+	var all []change
 	for f, at := range s.withdrawn {
 		if now.Sub(at) < withdrawalDuration {
-			all = append(all, SharedSuspicion{Fingerprint: f, Withdrawn: true})
+			all = append(all, change{SharedSuspicion{Fingerprint: f, Withdrawn: true}, at, now.Sub(at) < urgentPeriod})
 		}
 	}
 	for f, e := range s.entries {
 		if !e.expired(now) {
-			all = append(all, SharedSuspicion{Fingerprint: f, Crashes: e.crashes, Convicted: e.standing == Convicted && !now.After(e.until)})
+			convicted := e.standing == Convicted && !now.After(e.until)
+			all = append(all, change{SharedSuspicion{Fingerprint: f, Crashes: e.crashes, Convicted: convicted}, e.changedAt, convicted && now.Sub(e.changedAt) < urgentPeriod})
 		}
 	}
-	slices.SortFunc(all, func(a, b SharedSuspicion) int {
-		return cmp.Or(boolOrder(a.Withdrawn, b.Withdrawn), boolOrder(a.Convicted, b.Convicted), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	slices.SortFunc(all, func(a, b change) int {
+		return cmp.Or(boolOrder(a.urgent, b.urgent), b.at.Compare(a.at), boolOrder(a.Withdrawn, b.Withdrawn), boolOrder(a.Convicted, b.Convicted), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
-	return all[:min(limit, len(all))]
+	out := make([]SharedSuspicion, min(limit, len(all)))
+	for i := range out {
+		out[i] = all[i].SharedSuspicion
+	}
+	return out
 }
 
 // boolOrder orders true before false.
@@ -296,7 +312,7 @@
 	if len(s.entries) >= maxSuspects && e.crashes == 0 {
 		return false
 	}
-	e.crashes = max(e.crashes, other.Crashes)
+	e.crashes, e.changedAt = max(e.crashes, other.Crashes), now
 	if other.Convicted {
 		e.standing, e.until = Convicted, now.Add(convictionDuration)
 	} else if e.standing == Clear {
