jobs: reserve the memory for reading a whole submission

Cause: for each body of one item the VM reads and decodes the whole submission, 2.5 MB there, and only the one body was accounted for, after that.

Change: the memory for reading and decoding the submission is reserved in the account of callers' memory first; without room the caller is refused with a retry delay, not run.

--- a/lagoonlink/internal/gateway/gateway.go
+++ b/lagoonlink/internal/gateway/gateway.go
@@ -244,8 +244,12 @@
 		Candidate: candidacy.Candidate{Capacity: c.Capacity, Partitions: c.Partitions}, HandsOver: g.handsOver, HandOver: func(ctx context.Context) { g.manager.HandOver(ctx) }, Logger: c.Logger,
 	})
 	incarnations := incarnation.New(incarnation.Config{Control: c.Control, Logger: c.Logger})
+	var reserve func(context.Context, int) error
+	if c.Admission != nil {
+		reserve = c.Admission.Reserve
+	}
 	g.manager = jobs.New(jobs.Config{
-		VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, MemoryBytes: c.MemoryMB << 20, Journal: c.Journal, Engine: gate, Scorer: gate,
+		Reserve: reserve, VM: c.VM, Partitions: c.Partitions, RecordBytes: c.RecordBytes, CallBytes: c.CallBytes, MemoryBytes: c.MemoryMB << 20, Journal: c.Journal, Engine: gate, Scorer: gate,
 		Dispatch: g.dispatch, Fleet: g.fleet, Incarnations: incarnations, InForce: inForce, Owner: g.owner, Logger: c.Logger, Metrics: c.Metrics, TenantLabels: tenantLabels,
 	})
 	g.swaps = swaps.New(swaps.Config{
--- a/lagoonlink/internal/jobs/manager.go
+++ b/lagoonlink/internal/jobs/manager.go
@@ -59,11 +59,14 @@
 	CallBytes   int
 	// MemoryBytes is the memory of the VM; 0 if it is unknown.
 	MemoryBytes int
-	Journal     rollout.Journal
-	Engine      rollout.SampleEngine
-	Scorer      rollout.SampleScorer
-	Dispatch    *dispatch.Dispatcher
-	Fleet       *fleet.Fleet
+	// Reserve reserves memory for a caller's request until it has ended. Its errors are
+	// refusals. It may be nil.
+	Reserve  func(ctx context.Context, bytes int) error
+	Journal  rollout.Journal
+	Engine   rollout.SampleEngine
+	Scorer   rollout.SampleScorer
+	Dispatch *dispatch.Dispatcher
+	Fleet    *fleet.Fleet
 	// Incarnations confirms the servers that continue texts. It may be nil.
 	Incarnations *incarnation.Checker
 	InForce      *inforce.Holder
--- a/lagoonlink/internal/jobs/requests.go
+++ b/lagoonlink/internal/jobs/requests.go
@@ -269,6 +269,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if m.config.Reserve != nil {
+		if err := m.config.Reserve(ctx, j.Accepted.MemoryBytes()); err != nil {
+			return nil, err
+		}
+	}
 	s, err := m.readSubmission(ctx, &j.Accepted)
 	if err != nil {
 		return nil, rollout.Refuse(rollout.ReasonLogUnavailable, "%v", err).WithRetryAfter(storeRetryAfter)
--- a/rollout/job/record.go
+++ b/rollout/job/record.go
@@ -255,6 +255,15 @@
 	return r, nil
 }
 
+// submissionCopies is the number of copies of a stored submission while it is read: as
+// records, joined, and decoded.
+const submissionCopies = 3
+
+// MemoryBytes returns the memory that it takes to read and decode the submission.
+func (a *Accepted) MemoryBytes() int {
+	return submissionCopies*a.Submission.Bytes + sampleBytes*a.Total
+}
+
 // EncodeSubmission encodes a submission.
 func EncodeSubmission(s *Submission) ([]byte, error) {
 	data, err := encMode().Marshal(s)
