jobs: run open jobs within a share of the VM's memory

Cause: the owner of a partition read the submissions of all open jobs and queued all of their samples at once, some 10 KB each; after a restart too.

Change: a job starts once there is memory to run it, in a quarter of the VM's memory, half of it for small jobs, so that large ones don't hold these up. A job that waits holds nothing; one that ends meanwhile never starts.

--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+	"golang.org/x/sync/semaphore"
 
 	"lagoonlink.org/lagoonlink/internal/dispatch"
 	"lagoonlink.org/lagoonlink/internal/event"
@@ -29,6 +30,10 @@
 	// maxSubmissionAge is the maximum age of a submission from which the number of
 	// versions that samples may be behind is derived.
 	maxSubmissionAge = 3 * time.Second
+	// runMemoryShare is the divisor of the VM's memory for the jobs that run at the same time.
+	// Half of it is for small jobs, which take up to a smallJobShare-th of it.
+	runMemoryShare = 4
+	smallJobShare  = 8
 )
 
 // run is a job whose samples this VM runs.
@@ -38,6 +43,8 @@
 	partitionNumber int
 	ctx             context.Context
 	cancel          context.CancelCauseFunc
+	// samples are those in progress.
+	samples sync.WaitGroup
 }
 
 // Reasons for canceling a run.
@@ -63,13 +70,42 @@
 	closed     bool
 	// unscored has an element for each sample with a scorer that is generated or scored.
 	unscored chan struct{}
+	// memory bounds the jobs that run at the same time, small ones and others, so that these
+	// don't hold up small ones. It is nil if the VM's memory is unknown. Of those that wait, the
+	// one that has waited longest is first.
+	memory struct{ small, large *semaphore.Weighted }
+	// memoryBytes is the capacity of each of them.
+	memoryBytes int
 }
 
 func newRunner(m *Manager) *runner {
-	return &runner{
+	r := &runner{
 		manager: m, runs: map[string]*run{}, behind: map[rollout.ModelName]uint64{}, paces: map[dispatch.Target]*job.Pace{},
 		scoreTimes: map[string]*scoring.ResponseTimes{}, unscored: make(chan struct{}, maxUnscored),
 	}
+	if r.memoryBytes = m.config.MemoryBytes / runMemoryShare / 2; r.memoryBytes > 0 {
+		r.memory.small, r.memory.large = semaphore.NewWeighted(int64(r.memoryBytes)), semaphore.NewWeighted(int64(r.memoryBytes))
+	}
+	return r
+}
+
+// reserve waits for the memory to run a job and returns the function that releases it. A job
+// that needs more than there is runs alone.
+func (r *runner) reserve(ctx context.Context, j *job.Accepted) (release func(), err error) {
+	if r.memoryBytes == 0 {
+		return func() {}, nil
+	}
+	n, memory := int64(min(j.RunBytes(), r.memoryBytes)), r.memory.large
+	if j.RunBytes() <= 2*r.memoryBytes/smallJobShare {
+		memory = r.memory.small
+	}
+	if !memory.TryAcquire(n) {
+		r.manager.config.Logger.Write(event.JobWaits, event.Fields{"Job": j.ID, "Samples": j.Total, "Bytes": n, "Capacity": r.memoryBytes})
+		if err := memory.Acquire(ctx, n); err != nil {
+			return nil, err
+		}
+	}
+	return func() { memory.Release(n) }, nil
 }
 
 // allowRuns allows runs to start. They are canceled when ctx is done.
@@ -152,32 +188,62 @@
 	}
 }
 
-// startJob reads a job's submission and starts its samples unless the job is
-// already running.
+// startJob waits for the memory that a job needs, reads its submission and starts its samples
+// unless the job is already running.
 func (r *runner) startJob(number int, j *job.Accepted) {
 	r.mu.Lock()
-	ctx, running := r.ctx, r.runs[j.ID] != nil
+	ctx := r.ctx
 	r.mu.Unlock()
-	if running {
+	if !r.mayStart(number, j.ID) {
 		return
 	}
+	release, err := r.reserve(ctx, j)
+	if err != nil {
+		return
+	}
+	u := r.readAndStart(ctx, number, j)
+	if u == nil {
+		release()
+		return
+	}
+	r.group.Go(func() {
+		u.samples.Wait()
+		release()
+	})
+}
+
+// readAndStart reads a job's submission and starts its samples. It returns nil if the job
+// doesn't run.
+func (r *runner) readAndStart(ctx context.Context, number int, j *job.Accepted) *run {
 	for {
+		if !r.mayStart(number, j.ID) {
+			return nil
+		}
 		s, err := r.manager.readSubmission(ctx, j)
 		if err == nil {
 			r.manager.catchUpUnowned(ctx)
 			if r.manager.mayStartRuns(number) {
-				r.startSamples(number, s)
+				return r.startSamples(number, s)
 			}
-			return
+			return nil
 		}
 		r.manager.config.Logger.Write(event.JournalUnreadable, event.Fields{"Partition": j.Submission.Partition, "Job": j.ID, "Error": err})
 		var trimmed *rollout.TrimmedError
-		if pause.For(ctx, readRetryDelay); errors.As(err, &trimmed) || ctx.Err() != nil || !r.manager.mayStartRuns(number) {
-			return
+		if pause.For(ctx, readRetryDelay); errors.As(err, &trimmed) || ctx.Err() != nil {
+			return nil
 		}
 	}
 }
 
+// mayStart reports whether a job, which may have waited, is open and still to be started here.
+func (r *runner) mayStart(number int, id string) bool {
+	r.mu.Lock()
+	excluded := r.closed || r.runs[id] != nil
+	r.mu.Unlock()
+	j, ok := r.manager.partitions[number].job(id)
+	return !excluded && ok && !j.Ended && !j.Complete() && r.manager.mayStartRuns(number)
+}
+
 // handleEvent starts or cancels a job's run after a record changed the job.
 func (r *runner) handleEvent(number int, e job.Event) {
 	switch {
@@ -236,16 +302,17 @@
 	return m.MaxVersionsBehind(model), rollout.SwapContinue
 }
 
-// startSamples runs a job's samples that have no result yet.
-func (r *runner) startSamples(number int, s *job.Submission) {
+// startSamples runs a job's samples that have no result yet. It returns nil if the job must
+// not run.
+func (r *runner) startSamples(number int, s *job.Submission) *run {
 	if !r.joinGroup() {
-		return
+		return nil
 	}
 	defer r.group.Done()
 	m := r.manager
 	u, order := r.register(number, s)
 	if u == nil {
-		return
+		return nil
 	}
 	configuration := rollout.ConfigurationVersion(0)
 	if v := m.config.InForce.Current(); v != nil && v.Routes != nil {
@@ -259,8 +326,13 @@
 		if err != nil {
 			ticket = nil
 		}
-		r.group.Go(func() { r.runSample(u, i, ticket) })
+		u.samples.Add(1)
+		r.group.Go(func() {
+			defer u.samples.Done()
+			r.runSample(u, i, ticket)
+		})
 	}
+	return u
 }
 
 // register registers the run of a job and returns it with the samples to start, in
--- a/lagoonlink/internal/jobs/runner_test.go
+++ b/lagoonlink/internal/jobs/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/assert"
 	"lagoonlink.org/rollout/job"
+	"lagoonlink.org/rollout/tenancy"
 )
 
 // TestRunsThatMustNotStart plays events that forbid a job's run while the run starts. No
@@ -90,3 +92,56 @@
 		})
 	}
 }
+
+// TestOpenJobsRunWithinMemory guards against VMs that run out of memory because they run all
+// open jobs at once.
+func TestOpenJobsRunWithinMemory(t *testing.T) {
+	m := startManager(t)
+	m.config.RecordBytes, m.config.CallBytes = 256<<10, 2<<20
+	samples := make([]job.Sample, 100)
+	for i := range samples {
+		samples[i] = job.Sample{ID: fmt.Sprint(i), Path: "/"}
+	}
+	// Two jobs of 100 samples fit, three don't.
+	m.config.MemoryBytes = 2 * runMemoryShare * 5 << 19
+	m.runner = newRunner(m)
+	m.runner.allowRuns(t.Context())
+	for n := range 5 {
+		s := job.Submission{ID: fmt.Sprint("job", n), Host: "h", Model: "m", At: time.Now(), Retention: time.Minute, Samples: samples}
+		assert.NoError(t, "submit", m.Submit(t.Context(), tenancy.Caller{}, s))
+	}
+	small := job.Submission{ID: "small", Host: "h", Model: "m", At: time.Now(), Retention: time.Minute, Samples: samples[:5]}
+	assert.NoError(t, "submit", m.Submit(t.Context(), tenancy.Caller{}, small))
+	p := m.partitions[0]
+	assert.NoError(t, "catch up", m.catchUp(t.Context(), p))
+	running := func() (ids []string) {
+		m.runner.mu.Lock()
+		defer m.runner.mu.Unlock()
+		for id := range m.runner.runs {
+			ids = append(ids, id)
+		}
+		return ids
+	}
+	awaitRuns := func(want int) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); len(running()) != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("got %d running jobs, want %d", len(running()), want)
+			}
+		}
+	}
+	m.runner.startPartition(t.Context(), 0, p)
+	awaitRuns(3)
+	time.Sleep(50 * time.Millisecond)
+	first := running()
+	assert.Equal(t, "running jobs", len(first), 3)
+	assert.True(t, "the small job runs", slices.Contains(first, "small"))
+	// A job that has ended makes room, and one that ends while it waits never starts.
+	for _, id := range []string{"job0", "job1", "job2", "job3", "job4", "small"} {
+		assert.NoError(t, "end", m.End(t.Context(), tenancy.Caller{}, id))
+		assert.NoError(t, "catch up", m.catchUp(t.Context(), p))
+	}
+	awaitRuns(0)
+	m.runner.group.Wait()
+	assert.True(t, "all memory is free", m.runner.memory.large.TryAcquire(int64(m.runner.memoryBytes)) && m.runner.memory.small.TryAcquire(int64(m.runner.memoryBytes)))
+}
--- a/rollout/job/record.go
+++ b/rollout/job/record.go
@@ -259,6 +259,15 @@
 // records, joined, and decoded.
 const submissionCopies = 3
 
+// runningSampleBytes is the memory of a sample that waits for a server or runs on one: a
+// goroutine, a queued request and the text so far.
+const runningSampleBytes = 12 << 10
+
+// RunBytes returns the memory that it takes to run the job's samples.
+func (a *Accepted) RunBytes() int {
+	return a.MemoryBytes() + runningSampleBytes*a.Total
+}
+
 // MemoryBytes returns the memory that it takes to read and decode the submission.
 func (a *Accepted) MemoryBytes() int {
 	return submissionCopies*a.Submission.Bytes + sampleBytes*a.Total
