attempt: state what the trainer holds as a set in the test

Cause: the test of a step at an isolated VM wrote the samples that it held as a list of indexes, where pulls bear a bit set, so that it claimed samples that it didn't have.

Change: the test uses the trainer's message types, and ends when the VM says that the step is complete. The samples that it expects are the same.

--- a/lagoonlink/internal/attempt/face_test.go
+++ b/lagoonlink/internal/attempt/face_test.go
@@ -21,6 +21,7 @@
 	"lagoonlink.org/rollout"
 	"lagoonlink.org/rollout/assert"
 	"lagoonlink.org/rollout/membership"
+	"lagoonlink.org/rollout/trainer"
 	"lagoonlink.org/rollout/wire"
 )
 
@@ -118,24 +119,26 @@
 	t.Run("step", func(t *testing.T) {
 		status, body := send(t, address, http.MethodPut, "/v1/trainers/t/steps/1", `{"Groups":[{"Prompt":"b","Samples":4,"MaxTokens":9}]}`)
 		assert.Equal(t, body, status, http.StatusOK)
-		held := map[int]bool{}
-		for number := 1; len(held) < 4 && number < 20; number++ {
-			var indexes []string
-			for index := range held {
-				indexes = append(indexes, fmt.Sprint(index))
-			}
-			status, body := send(t, address, http.MethodPost, "/v1/trainers/t/steps/1/pull", fmt.Sprintf(`{"Number":%d,"Held":[%s],"Max":4,"Current":3,"WaitMilliseconds":1000}`, number, strings.Join(indexes, ",")))
+		pull := trainer.PullRequest{Held: rollout.NewHeld(4), Current: 3, Max: 4, WaitMilliseconds: 1000}
+		samples := 0
+		for complete := false; !complete && pull.Number < 20; {
+			pull.Number++
+			request, err := json.Marshal(pull)
+			assert.NoError(t, "encode", err)
+			status, body := send(t, address, http.MethodPost, "/v1/trainers/t/steps/1/pull", string(request))
 			assert.Equal(t, body, status, http.StatusOK)
 			var pulled rollout.PullResponse
 			assert.NoError(t, "decode", json.Unmarshal([]byte(body), &pulled))
+			complete = pulled.Complete
 			for _, sample := range pulled.Samples {
-				held[sample.Index] = true
+				samples++
+				pull.Held = pull.Held.With(sample.Index)
 				assert.Equal(t, "text", sample.Text, "b1b2b3")
 				assert.Equal(t, "versions", fmt.Sprint(sample.Versions), "[1 2 3]")
 				assert.True(t, "the server is known", sample.Server != "")
 			}
 		}
-		assert.Equal(t, "samples", len(held), 4)
+		assert.Equal(t, "samples", samples, 4)
 	})
 }
 
