jobs: count a running job's submission once

Cause: the memory that a job is taken to need counted the copies of its submission that exist only while it is read. On a VM of 120 MB six jobs of 144 samples would have run at once.

Change: the submission counts once, and jobs get a third of the VM's memory, still half of it for small ones.

--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -32,7 +32,7 @@
 	maxSubmissionAge = 3 * time.Second
 	// runMemoryShare is the divisor of the VM's memory for the jobs that run at the same time.
 	// Half of it is for small jobs, which take up to a smallJobShare-th of it.
-	runMemoryShare = 4
+	runMemoryShare = 3
 	smallJobShare  = 8
 )
 
--- a/rollout/job/record.go
+++ b/rollout/job/record.go
@@ -265,7 +265,7 @@
 
 // RunBytes returns the memory that it takes to run the job's samples.
 func (a *Accepted) RunBytes() int {
-	return a.MemoryBytes() + runningSampleBytes*a.Total
+	return a.Submission.Bytes + runningSampleBytes*a.Total
 }
 
 // MemoryBytes returns the memory that it takes to read and decode the submission.
