attempt, hop: share the time left, apply the deadline before the decision

Both faces computed the time that is left for a hop; the other VM waited for its own decision, up to some 240 ms, before the deadline applied; the way through one function was long.

Change: hop.TimeLeft for both, the deadline first, readAnswer and withTimeLeft as functions of their own, sampleRun in place of a type and a method run.

--- a/lagoonlink/internal/attempt/attempt.go
+++ b/lagoonlink/internal/attempt/attempt.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"lagoonlink.org/lagoonlink/internal/dispatch"
@@ -194,19 +193,3 @@
 	r.ConnectionLost = r.Failed && f.Verdict == rollout.MayHaveRun
 	return r
 }
-
-// copyPieces passes the pieces of a generation on until its end.
-func copyPieces(r rollout.PieceReader, send func(rollout.Piece) error) error {
-	for {
-		p, err := r.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err == nil {
-			err = send(p)
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
--- a/lagoonlink/internal/attempt/client.go
+++ b/lagoonlink/internal/attempt/client.go
@@ -34,8 +34,6 @@
 	// used.
 	askTimeout      = 100 * time.Millisecond
 	refreshInterval = 500 * time.Millisecond
-	// wayMargin is the part of the remaining time that the way between the VMs takes.
-	wayMargin = 8 * time.Millisecond
 	// isolatedRetryAfter is the retry delay if no VM reaches servers.
 	isolatedRetryAfter = time.Second
 )
@@ -143,8 +141,9 @@
 	}
 }
 
-// send passes an attempt to another VM. It returns the response, of which the head is read,
-// unless the attempt failed, and the server that the other VM chose, if any.
+// send passes an attempt to the first of up to maxPeers VMs that begins it. It returns the
+// response, of which the head is read, unless the attempt failed, and the head, which names
+// the server that the other VM chose, if any.
 func (c *Client) send(ctx context.Context, id string, head requestHead, body []byte) (*http.Response, responseHead, error) {
 	peers := isolation.Choose(c.peers(ctx), c.config.Zone, id)
 	err := errNobodyReaches()
@@ -173,14 +172,13 @@
 	c.config.Logger.Write(event.PeerAsked, fields)
 }
 
+// sendTo passes an attempt to the VM at an address.
 func (c *Client) sendTo(ctx context.Context, address string, head requestHead, body []byte) (*http.Response, responseHead, error) {
 	var answer responseHead
 	if v := c.config.InForce.Current(); v != nil {
 		head.Version = v.Version
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		head.TimeLeft = max(1, (time.Until(deadline) - wayMargin).Milliseconds())
-	}
+	head.TimeLeft = hop.TimeLeft(ctx)
 	message, err := hop.EncodeHead(&head, hop.MaxHeadBytes)
 	if err != nil {
 		return nil, answer, rollout.Fail(rollout.NotRun, rollout.ReasonTooLarge, err)
@@ -196,25 +194,32 @@
 	if err != nil {
 		return nil, answer, rollout.Wrapf(err, "pass an attempt to the VM at %s", address)
 	}
+	if answer, err = readAnswer(response); err != nil {
+		_ = response.Body.Close()
+		return nil, answer, rollout.Wrapf(err, "attempt by the VM at %s", address)
+	}
+	return response, answer, nil
+}
+
+// readAnswer reads the head of a response. The error is the failure that the head states, or
+// why there is none.
+func readAnswer(response *http.Response) (responseHead, error) {
+	var answer responseHead
 	switch response.StatusCode {
 	case http.StatusOK:
-		err = hop.ReadHead(response.Body, &answer, hop.MaxHeadBytes)
-		if err == nil && answer.Failure != nil {
-			err = answer.Failure.Err()
-		} else if err != nil {
-			err = rollout.Fail(rollout.MayHaveRun, rollout.ReasonPeerUnreachable, err)
-		}
 	case http.StatusNotFound, http.StatusUnauthorized:
 		// The VM runs a build without attempts, or doesn't accept the key any more.
-		err = rollout.Fail(rollout.NotRun, rollout.ReasonPeerUnreachable, fmt.Errorf("status %d", response.StatusCode))
+		return answer, rollout.Fail(rollout.NotRun, rollout.ReasonPeerUnreachable, fmt.Errorf("status %d", response.StatusCode))
 	default:
-		err = rollout.Fail(rollout.MayHaveRun, rollout.ReasonPeerUnreachable, fmt.Errorf("status %d", response.StatusCode))
+		return answer, rollout.Fail(rollout.MayHaveRun, rollout.ReasonPeerUnreachable, fmt.Errorf("status %d", response.StatusCode))
 	}
-	if err != nil {
-		_ = response.Body.Close()
-		return nil, answer, rollout.Wrapf(err, "attempt by the VM at %s", address)
+	if err := hop.ReadHead(response.Body, &answer, hop.MaxHeadBytes); err != nil {
+		return responseHead{}, rollout.Fail(rollout.MayHaveRun, rollout.ReasonPeerUnreachable, err)
 	}
-	return response, answer, nil
+	if answer.Failure != nil {
+		return answer, answer.Failure.Err()
+	}
+	return answer, nil
 }
 
 // call makes a call through another VM. It also returns the server that was called, if any.
--- a/lagoonlink/internal/attempt/server.go
+++ b/lagoonlink/internal/attempt/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -68,10 +69,12 @@
 	held := &holding{memory: s.memory}
 	defer held.release()
 	head, body, err := s.read(w, r, held)
+	ctx, cancel := withTimeLeft(r.Context(), head.TimeLeft)
+	defer cancel()
 	if err == nil {
 		err = s.admit(&head)
 	}
-	if err == nil && s.config.Maker.config.Reach.Isolated(r.Context()) {
+	if err == nil && s.config.Maker.config.Reach.Isolated(ctx) {
 		write(w, &responseHead{Isolated: true, Failure: hop.NewFailure(errNobodyReaches())}, nil)
 		return
 	}
@@ -79,17 +82,11 @@
 		write(w, &responseHead{Failure: hop.NewFailure(err)}, nil)
 		return
 	}
-	ctx, deadline := r.Context(), time.Time{}
-	if head.TimeLeft > 0 {
-		deadline = time.Now().Add(time.Duration(head.TimeLeft) * time.Millisecond)
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline)
-		defer cancel()
-	}
 	if head.Control != nil {
 		s.control(ctx, w, *head.Control)
 		return
 	}
+	deadline, _ := ctx.Deadline()
 	a, err := s.config.Maker.beginHere(ctx, head.request(deadline))
 	if err != nil {
 		write(w, &responseHead{Failure: hop.NewFailure(err)}, nil)
@@ -103,6 +100,14 @@
 	s.generate(ctx, w, a, body)
 }
 
+// withTimeLeft returns a context that ends after a time in milliseconds; 0 means no limit.
+func withTimeLeft(ctx context.Context, ms int64) (context.Context, context.CancelFunc) {
+	if ms <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+}
+
 // admit refuses an attempt that this VM may not make.
 func (s *Server) admit(head *requestHead) error {
 	if s.leaving.Load() {
@@ -205,6 +210,22 @@
 	}
 }
 
+// copyPieces passes the pieces of a generation on until its end.
+func copyPieces(r rollout.PieceReader, send func(rollout.Piece) error) error {
+	for {
+		p, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err == nil {
+			err = send(p)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // writePiece sends a piece at once. Its error means that the other VM has left.
 func writePiece(w http.ResponseWriter, control *http.ResponseController, p *pieceHead) error {
 	message, err := hop.EncodeHead(p, maxPieceBytes)
--- a/lagoonlink/internal/forwarding/client.go
+++ b/lagoonlink/internal/forwarding/client.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"lagoonlink.org/lagoonlink/internal/hop"
 	"lagoonlink.org/rollout"
@@ -18,12 +17,8 @@
 	"lagoonlink.org/rollout/isolation"
 )
 
-const (
-	// wayMargin is the part of the remaining time that the way between the VMs takes.
-	wayMargin = 8 * time.Millisecond
-	// maxResponseBytes limits the body of a response that is not streamed.
-	maxResponseBytes = 64 << 20
-)
+// maxResponseBytes limits the body of a response that is not streamed.
+const maxResponseBytes = 64 << 20
 
 // Reach tells whether this VM reaches backend servers.
 type Reach interface {
@@ -69,10 +64,7 @@
 func (c *Client) Forward(ctx context.Context, to rollout.PeerVM, r rollout.ForwardedRequest, version rollout.ConfigurationVersion) (rollout.ForwardedResponse, error) {
 	head := requestHead{
 		ID: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: r.Header, Resumed: r.Resumed, Resumes: r.Resumes, Tenant: r.Tenant,
-		Version: version, MaxAttempts: max(1, r.MaxAttempts), Counted: r.Counted, TimeLeft: 1,
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		head.TimeLeft = max(1, (time.Until(deadline) - wayMargin).Milliseconds())
+		Version: version, MaxAttempts: max(1, r.MaxAttempts), Counted: r.Counted, TimeLeft: max(1, hop.TimeLeft(ctx)),
 	}
 	message, err := hop.EncodeHead(&head, hop.MaxHeadBytes)
 	if err != nil {
--- a/lagoonlink/internal/holder/holder.go
+++ b/lagoonlink/internal/holder/holder.go
@@ -320,7 +320,7 @@
 	st.cancels[s.Attempt] = cancel
 	g := st.step.Plan().Groups[s.Group]
 	prefix := xxh3.HashString(g.Prompt)
-	r := run{
+	r := sampleRun{
 		holder: h,
 		key:    key,
 		id:     s.Attempt,
@@ -348,8 +348,8 @@
 	go r.run(ctx)
 }
 
-// run runs one generation and reports its progress and result to the Holder.
-type run struct {
+// sampleRun runs one generation and reports its progress and result to the Holder.
+type sampleRun struct {
 	holder     *Holder
 	key        rollout.StepKey
 	id         sample.AttemptID
@@ -361,7 +361,7 @@
 // delay keeps a failed sample from being retried immediately on a failing pool.
 const maxFailureDelay = 200 * time.Millisecond
 
-func (r *run) run(ctx context.Context) {
+func (r *sampleRun) run(ctx context.Context) {
 	err := r.generate(ctx)
 	if err == nil {
 		r.send(sample.Finished{Attempt: r.id})
@@ -381,14 +381,14 @@
 }
 
 // send sends an event of the step to Run, or drops it if Run has ended.
-func (r *run) send(e sample.Event) {
+func (r *sampleRun) send(e sample.Event) {
 	select {
 	case r.holder.messages <- eventMessage{r.key, e}:
 	case <-r.holder.runCtx.Done():
 	}
 }
 
-func (r *run) generate(ctx context.Context) error {
+func (r *sampleRun) generate(ctx context.Context) error {
 	a, err := r.holder.config.Attempts.Begin(ctx, r.req)
 	if err != nil {
 		return err
@@ -407,7 +407,7 @@
 const progressInterval = 50 * time.Millisecond
 
 // streamPieces reads the engine's response and reports its pieces as progress.
-func (r *run) streamPieces(ctx context.Context, a *attempt.Attempt) error {
+func (r *sampleRun) streamPieces(ctx context.Context, a *attempt.Attempt) error {
 	known := a.Server() != ""
 	reader, err := a.Generate(ctx, r.generation)
 	if err != nil {
--- a/lagoonlink/internal/hop/hop.go
+++ b/lagoonlink/internal/hop/hop.go
@@ -4,6 +4,7 @@
 package hop
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -23,6 +24,19 @@
 	LengthBytes = 4
 )
 
+// wayMargin is the part of the remaining time that the way between the VMs takes.
+const wayMargin = 8 * time.Millisecond
+
+// TimeLeft returns the time in milliseconds, at least 1, that the other VM has for a request,
+// or 0 if it has no deadline. No clocks are compared.
+func TimeLeft(ctx context.Context) int64 {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(1, (time.Until(deadline) - wayMargin).Milliseconds())
+}
+
 // Head is a head that is checked when it is decoded.
 type Head interface {
 	// Check returns an error for the first invalid field.
