--- a/lagoonlink/internal/jobs/runner.go
+++ b/lagoonlink/internal/jobs/runner.go
@@ -70,11 +70,12 @@
 	closed     bool
 	// unscored has an element for each sample with a scorer that is generated or scored.
 	unscored chan struct{}
-	// memory bounds the jobs that run at the same time, small ones and others, so that these
-	// don't hold up small ones. It is nil if the VM's memory is unknown. Of those that wait, the
-	// one that has waited longest is first.
+	// memory bounds the jobs that run at the same time, small and large ones apart, so that
+	// large ones don't hold up small ones. Of those that wait, the one that has waited longest
+	// is first.
 	memory struct{ small, large *semaphore.Weighted }
-	// memoryBytes is the capacity of each of them.
+	// memoryBytes is the capacity of each part of memory, or 0 if there is no bound because
+	// the VM's memory is unknown.
 	memoryBytes int
 }
 
