gateway: allow the moves that the log states in the test of a lapsed owner

Cause, traced: each job was started once (event 721), by the VM that owns it, and just these five samples have an event 725, "the server is slower than others". The stand-in engines share the test's processor, so that one of them may look slow, and moving a sample's run then is what the product should do.

Change: a sample may run once, and once more for each such event. As strict as before: a run that no event explains, as by the lapsed owner, still fails.

--- a/lagoonlink/internal/gateway/gateway_test.go
+++ b/lagoonlink/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -103,6 +104,20 @@
 	return l.text.Write(data)
 }
 
+// movesFromSlowServers returns how often a sample's run was moved because its server was slower
+// than others, as the log says. The engines share the test's processor, so that any of them may
+// look slow on a busy machine.
+func (d *deployment) movesFromSlowServers(sample string) (n int) {
+	d.log.mu.Lock()
+	defer d.log.mu.Unlock()
+	for line := range strings.Lines(d.log.text.String()) {
+		if strings.Contains(line, "Event=725 ") && strings.Contains(line, "Sample="+sample+" ") && strings.Contains(line, "slower than others") {
+			n++
+		}
+	}
+	return n
+}
+
 func deploy(t *testing.T, pieces int, pieceDelay time.Duration, vms ...rollout.VMName) *deployment {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -368,7 +383,7 @@
 	for _, s := range all {
 		d.readComplete(t, "b", s)
 		for _, e := range s.Samples {
-			assert.Equal(t, "runs of "+e.ID, d.engines.Runs(e.ID), 1)
+			assert.Equal(t, "runs of "+e.ID, d.engines.Runs(e.ID), 1+d.movesFromSlowServers(e.ID))
 		}
 	}
 	d.store.Admit("a")
