httpclient: don't take a reset during an upload for the end of a response

Callers got a part of a response as a complete one: a server answered a long upload at once, with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the loss of a connection once, as an error of whichever call comes next. If that is the write of the upload, the read of the response gets io.EOF afterwards. A response without a length ends with io.EOF, so it looked complete. It didn't hang on the status or the type: 500, events and HTTP/1.0 went the same way; responses with a length or in chunks did not.

Change: each connection keeps the first error of its writes. When a read gets io.EOF, the connection's state tells whether the server closed its side (CLOSE_WAIT): then the response is whole, also while the upload goes on. If the connection is gone, a write in progress returns at once; its error is returned in place of io.EOF, unless it is EPIPE, which the kernel gives if the server had closed its side before the reset.

--- a/rollout/httpclient/httpclient.go
+++ b/rollout/httpclient/httpclient.go
@@ -105,6 +105,7 @@
 	// pending counts the requests that the connection was assigned to and whose
 	// responses have not been read completely.
 	pending atomic.Int64
+	writes  writeFailure
 }
 
 // Close closes the connection in the ordinary way if no request is in progress on it.
@@ -131,13 +132,17 @@
 func (c *countingConn) Write(data []byte) (int, error) {
 	c.written.Add(uint64(len(data)))
 	c.client.sent.Add(uint64(len(data)))
-	return c.Conn.Write(data)
+	return c.writes.write(c.Conn, data)
 }
 
-// Read counts the bytes received.
+// Read counts the bytes received. It returns io.EOF only if the server closed the connection,
+// not if the connection was lost.
 func (c *countingConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	c.client.received.Add(uint64(n))
+	if errors.Is(err, io.EOF) {
+		err = c.writes.afterEOF(c.Conn, err)
+	}
 	return n, err
 }
 
--- /dev/null
+++ b/rollout/httpclient/standin/standin.go
@@ -0,0 +1,99 @@
+// Package standin provides servers whose responses are broken or early, for the tests of the
+// packages that read responses.
+package standin
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/textproto"
+	"testing"
+	"time"
+
+	"lagoonlink.org/rollout/assert"
+)
+
+// UploadBytes is the size of a request body that a server can't receive without reading it.
+const UploadBytes = 12 << 20
+
+// receiveBufferBytes bounds what the kernel receives for a server that doesn't read.
+const receiveBufferBytes = 16 << 10
+
+// Ending is what a server does after a response.
+type Ending int
+
+const (
+	// Reset resets the connection.
+	Reset Ending = iota
+	// ReadOn ends the response, reads the rest of the request and closes the connection.
+	ReadOn
+	// ResetLater ends the response and resets the connection after a while.
+	ResetLater
+)
+
+// resetLaterDelay is the time between the end of a response and the reset with ResetLater.
+const resetLaterDelay = 30 * time.Millisecond
+
+// EarlyServer responds to each request once it has read the request's header, on a connection
+// of its own.
+type EarlyServer struct {
+	// Response is the whole response as sent.
+	Response string
+	// Delay is the time between the response and the ending.
+	Delay  time.Duration
+	Ending Ending
+}
+
+// Start starts the server until the end of the test and returns its address.
+func (s EarlyServer) Start(t testing.TB) string { return start(t, s.serve) }
+
+func (s EarlyServer) serve(conn *net.TCPConn, request *bufio.Reader) {
+	_, _ = io.WriteString(conn, s.Response)
+	time.Sleep(s.Delay)
+	if s.Ending != Reset {
+		_ = conn.CloseWrite()
+	}
+	switch s.Ending {
+	case ReadOn:
+		_, _ = io.Copy(io.Discard, request)
+		return
+	case ResetLater:
+		time.Sleep(resetLaterDelay)
+	}
+	_ = conn.SetLinger(0)
+}
+
+// start starts a server that handles each connection after the header of its first request and
+// then closes it.
+func start(t testing.TB, handle func(conn *net.TCPConn, request *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, "listen", err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			accepted, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conn, ok := accepted.(*net.TCPConn)
+			if !ok {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_ = conn.SetReadBuffer(receiveBufferBytes)
+				request := bufio.NewReader(conn)
+				head := textproto.NewReader(request)
+				if _, err := head.ReadLine(); err != nil {
+					return
+				}
+				if _, err := head.ReadMIMEHeader(); err != nil {
+					return
+				}
+				handle(conn, request)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
