httpclient: read a whole response before the failure of its upload

Callers got a 502, or a repeat, for a request whose server had sent its whole response early and then reset the connection, as the kernel does for a server that closes a connection with unread data.

Cause: net/http closes the connection as soon as a write fails. What the kernel had received by then, or what was being read, was lost. It is a race that the reader wins if the response comes a few milliseconds before the reset.

Change: a failed write returns after the reads have met the end of the connection, or after the connection was closed. The response is read in whole; if it isn't whole, the read fails as before.

--- a/rollout/httpclient/early_test.go
+++ b/rollout/httpclient/early_test.go
@@ -55,11 +55,12 @@
 	for name, c := range map[string]standin.EarlyServer{
 		"ends with its connection, which reads on":       {Response: "HTTP/1.1 200 OK\r\n\r\nwhole", Ending: standin.ReadOn},
 		"ends with its connection, which is reset later": {Response: "HTTP/1.1 200 OK\r\n\r\nwhole", Ending: standin.ResetLater},
+		"ends with its connection, which is reset then":  {Response: "HTTP/1.1 200 OK\r\n\r\nwhole", Ending: standin.ResetAfterEnd},
 		"has a length, and the connection reads on":      {Response: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", Ending: standin.ReadOn},
 		"has a length, and the connection is reset":      {Response: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", Ending: standin.Reset},
 		"comes in chunks, and the connection is reset":   {Response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", Ending: standin.Reset},
 	} {
-		for _, delay := range []time.Duration{20, 200} {
+		for _, delay := range []time.Duration{0, 20, 200} {
 			server := c
 			server.Delay = delay * time.Millisecond
 			t.Run(fmt.Sprintf("%s after %d ms", name, delay), func(t *testing.T) {
--- a/rollout/httpclient/httpclient.go
+++ b/rollout/httpclient/httpclient.go
@@ -24,6 +24,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -106,11 +107,17 @@
 	// responses have not been read completely.
 	pending atomic.Int64
 	writes  writeFailure
+	// ended is closed when nothing more can be read from the connection.
+	ended   chan struct{}
+	endOnce sync.Once
 }
 
+func (c *countingConn) end() { c.endOnce.Do(func() { close(c.ended) }) }
+
 // Close closes the connection in the ordinary way if no request is in progress on it.
 // Otherwise it resets the connection.
 func (c *countingConn) Close() error {
+	c.end()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.pending.Load() == 0 {
 		// This fails only on a connection that is already closed.
 		_ = tcp.SetLinger(-1)
@@ -128,11 +135,16 @@
 }
 
 // Write counts the bytes even if the write fails, because some of them may have
-// been sent.
+// been sent. An error is returned after all that the server has sent was read: net/http
+// closes the connection then, which would lose a response that ended before its request.
 func (c *countingConn) Write(data []byte) (int, error) {
 	c.written.Add(uint64(len(data)))
 	c.client.sent.Add(uint64(len(data)))
-	return c.writes.write(c.Conn, data)
+	n, err := c.writes.write(c.Conn, data)
+	if err != nil {
+		<-c.ended
+	}
+	return n, err
 }
 
 // Read counts the bytes received. It returns io.EOF only if the server closed the connection,
@@ -143,6 +155,9 @@
 	if errors.Is(err, io.EOF) {
 		err = c.writes.afterEOF(c.Conn, err)
 	}
+	if err != nil {
+		c.end()
+	}
 	return n, err
 }
 
@@ -167,7 +182,7 @@
 		if err := resetOnClose(conn); err != nil {
 			return nil, errors.Join(err, conn.Close())
 		}
-		return &countingConn{Conn: conn, client: client}, nil
+		return &countingConn{Conn: conn, client: client, ended: make(chan struct{})}, nil
 	}
 	client.setTransport(&http.Transport{
 		DialContext:           dial,
--- a/rollout/httpclient/standin/standin.go
+++ b/rollout/httpclient/standin/standin.go
@@ -27,7 +27,9 @@
 	Reset Ending = iota
 	// ReadOn ends the response, reads the rest of the request and closes the connection.
 	ReadOn
-	// ResetLater ends the response and resets the connection after a while.
+	// ResetAfterEnd ends the response and resets the connection at once, ResetLater after a
+	// while.
+	ResetAfterEnd
 	ResetLater
 )
 
