httpclient: reject responses with a status that none can have

Callers of services on the own face got a response with the status 000 as an answer.

Cause: net/http takes any three characters that are a number, also 000, 099, -00 and +20, and 600 to 999. It returns 101 though no request asks for another protocol.

Change: the client of all of them checks the status of each response once. One outside of 200 to 599 (RFC 9110, section 15) is a failure with the verdict MayHaveRun, whatever else the response states, and its connection is reset.

Statuses 200 to 599, and a response after an interim one, are returned as before.

--- a/rollout/httpclient/httpclient.go
+++ b/rollout/httpclient/httpclient.go
@@ -257,12 +257,18 @@
 }
 
 // Do sends a request and returns the response. The caller must close the response's
-// body. Errors are of type *rollout.Failure.
+// body. Errors are of type *rollout.Failure. A response whose head is invalid is an error
+// with the verdict MayHaveRun, whatever it states.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
 	t := &writeTracker{}
 	response, err := c.http.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), t.clientTrace())))
 	if err == nil {
-		return response, nil
+		if err = checkStatus(response); err == nil {
+			return response, nil
+		}
+		// The connection is reset, because the body was not read.
+		_ = response.Body.Close()
+		return nil, rollout.Fail(rollout.MayHaveRun, rollout.ReasonServerFailed, err)
 	}
 	reason := rollout.ReasonServerFailed
 	switch {
--- a/rollout/httpclient/standin/standin.go
+++ b/rollout/httpclient/standin/standin.go
@@ -27,9 +27,9 @@
 	Reset Ending = iota
 	// ReadOn ends the response, reads the rest of the request and closes the connection.
 	ReadOn
-	// ResetAfterEnd ends the response and resets the connection at once, ResetLater after a
-	// while.
+	// ResetAfterEnd ends the response and resets the connection at once.
 	ResetAfterEnd
+	// ResetLater ends the response and resets the connection after a while.
 	ResetLater
 )
 
@@ -65,6 +65,12 @@
 	_ = conn.SetLinger(0)
 }
 
+// Respond starts a server that sends a whole response to each request, ends the response with
+// its connection, and returns the server's address.
+func Respond(t testing.TB, response string) string {
+	return EarlyServer{Response: response, Ending: ReadOn}.Start(t)
+}
+
 // start starts a server that handles each connection after the header of its first request and
 // then closes it.
 func start(t testing.TB, handle func(conn *net.TCPConn, request *bufio.Reader)) string {
