httpclient: reject responses with a blank in the name of a field

Callers got a response in whose head the name of a field held a blank, with the line passed on, or with another body than its server meant: "Content-Length : 2" before 8 bytes gave all 8, and "Transfer-Encoding : chunked" gave a body with its chunk sizes. A line that began with a blank was appended to the field before it, which may be the server's stamp.

Cause: net/http passes names with spaces on as they are and ignores what they state of the body; it unfolds lines that begin with a blank. Control bytes, tabs within names, empty names and lines without a colon it rejects.

Change: the check of each response's head rejects names with a space. Folded lines can't be told after net/http has read them, so the connection looks for them in the bytes of each head, interim responses included, and its read fails. RFC 9112, section 5.2, lets a proxy reject them.

TestFoldedLineInPieces splits responses at each byte, on a connection that carried another.

--- a/rollout/httpclient/httpclient.go
+++ b/rollout/httpclient/httpclient.go
@@ -107,6 +107,7 @@
 	// responses have not been read completely.
 	pending atomic.Int64
 	writes  writeFailure
+	folds   foldDetector
 	// ended is closed when nothing more can be read from the connection.
 	ended   chan struct{}
 	endOnce sync.Once
@@ -148,13 +149,16 @@
 }
 
 // Read counts the bytes received. It returns io.EOF only if the server closed the connection,
-// not if the connection was lost.
+// not if the connection was lost. It fails if the head of a response has a folded line.
 func (c *countingConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	c.client.received.Add(uint64(n))
 	if errors.Is(err, io.EOF) {
 		err = c.writes.afterEOF(c.Conn, err)
 	}
+	if foldErr := c.folds.scan(data[:n]); foldErr != nil {
+		n, err = 0, foldErr
+	}
 	if err != nil {
 		c.end()
 	}
@@ -234,6 +238,7 @@
 				return
 			}
 			c.pending.Add(1)
+			c.folds.expected.Store(true)
 			t.writtenBefore.Store(c.written.Load())
 			t.reused.Store(i.Reused)
 			t.conn.Store(c)
@@ -263,7 +268,7 @@
 	t := &writeTracker{}
 	response, err := c.http.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), t.clientTrace())))
 	if err == nil {
-		if err = checkStatus(response); err == nil {
+		if err = checkHead(response); err == nil {
 			return response, nil
 		}
 		// The connection is reset, because the body was not read.
