hop: reject invalid heads that an older VM passes on

While this VM reaches no server, requests go through another one, which may run an older build. That build passes on a service's status 000, and fields with blanks in their names; they reached callers through this VM.

Cause: what another VM passes on of a server's head stands in the body of its response, which the checks of HTTP heads don't see. The head of a forwarded request allowed any status from 200 to 999 and any name, that of a call of the own face any status.

Change: both use the checks of package httpclient. The verdict is MayHaveRun. A folded line, or a body that the older VM took for complete, can't be told from a valid one.

--- a/lagoonlink/internal/attempt/client.go
+++ b/lagoonlink/internal/attempt/client.go
@@ -232,6 +232,10 @@
 		return rollout.CallResponse{}, answer.Server, err
 	}
 	defer response.Body.Close()
+	// Older builds pass invalid heads of services on.
+	if err := httpclient.CheckStatus(answer.Status); err != nil {
+		return rollout.CallResponse{}, answer.Server, rollout.Fail(rollout.MayHaveRun, rollout.ReasonServerFailed, err)
+	}
 	data, err := c.config.HTTP.ReadBody(response.Body, service.MaxResponseBytes)
 	if err != nil {
 		return rollout.CallResponse{}, answer.Server, rollout.Wrapf(err, "read a response that another VM passes on")
--- a/lagoonlink/internal/forwarding/message.go
+++ b/lagoonlink/internal/forwarding/message.go
@@ -5,6 +5,7 @@
 
 	"lagoonlink.org/lagoonlink/internal/hop"
 	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/httpclient"
 )
 
 // path is the path of requests of form 1.
@@ -49,10 +50,19 @@
 	Failure  *hop.Failure          `cbor:",omitempty"`
 }
 
-// Check returns an error for the first invalid field.
+// Check returns an error for the first invalid field. Older builds pass invalid heads of
+// servers on.
 func (h *responseHead) Check() error {
-	if h.Failure == nil && (h.Status < 200 || h.Status > 999) {
-		return fmt.Errorf("Status: got %d, expected 200 to 999 or a failure", h.Status)
+	if h.Failure != nil {
+		return nil
+	}
+	if err := httpclient.CheckStatus(h.Status); err != nil {
+		return fmt.Errorf("Status: %w", err)
+	}
+	for _, f := range h.Header {
+		if err := httpclient.CheckFieldName(f.Name); err != nil {
+			return fmt.Errorf("Header: %w", err)
+		}
 	}
 	return nil
 }
--- a/rollout/httpclient/response.go
+++ b/rollout/httpclient/response.go
@@ -11,25 +11,33 @@
 
 // checkHead returns an error if a response has an invalid status or field name.
 func checkHead(response *http.Response) error {
-	if err := checkStatus(response); err != nil {
+	if err := CheckStatus(response.StatusCode); err != nil {
 		return err
 	}
 	for name := range response.Header {
-		// net/http rejects all other characters that a name can't have, but passes names with
-		// spaces on and ignores what they state of the body (go.dev/issue/34540).
-		if strings.Contains(name, " ") {
-			return fmt.Errorf("the name of field %.64q has a space", name)
+		if err := CheckFieldName(name); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-// checkStatus returns an error unless a response has the status of a final response (RFC 9110,
-// section 15). net/http accepts any three digits. It returns interim responses only if they
-// switch to another protocol, which no request asks for.
-func checkStatus(response *http.Response) error {
-	if response.StatusCode < 200 || response.StatusCode > 599 {
-		return fmt.Errorf("status %03d is not that of a response", response.StatusCode)
+// CheckStatus returns an error unless a response can have the status (RFC 9110, section 15).
+// net/http accepts any three digits. It returns interim responses only if they switch to
+// another protocol, which no request asks for.
+func CheckStatus(status int) error {
+	if status < 200 || status > 599 {
+		return fmt.Errorf("status %03d is not that of a response", status)
+	}
+	return nil
+}
+
+// CheckFieldName returns an error unless a field that net/http has read can have the name.
+// net/http rejects all other characters that a name can't have, but passes names with spaces
+// on and ignores what they state of the body (go.dev/issue/34540).
+func CheckFieldName(name string) error {
+	if strings.Contains(name, " ") {
+		return fmt.Errorf("the name of field %.64q has a space", name)
 	}
 	return nil
 }
