peer: replace a connection between VMs that has fallen silent

Steps, pulls and calls with an identity that another VM holds got no answer any more, without end, once the connection to that VM fell silent for good. Probes by datagram still counted the VM as alive.

Cause: requests to a VM share one connection. It was given up when a read or a write failed, or after two unused minutes; requests that timed out left it in use. The kernel gives up a connection on which it sends in vain after some 15 minutes, one on which something acknowledges never.

Change: while a request waits, each 500 ms, and when it ends without a response, the connection is pinged; without an answer within the time that connecting may take, it is closed. Its requests fail with the verdict MayHaveRun, the next ones connect anew.

--- a/lagoonlink/internal/peer/link.go
+++ b/lagoonlink/internal/peer/link.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -29,6 +30,9 @@
 	writeTimeout       = 5 * time.Second
 	linkIdleTimeout    = 2 * time.Minute
 	maxPendingRequests = 1024
+	// probeInterval is how long a request waits before its connection is probed, and before
+	// each further probe. A peer answers a probe within dialTimeout.
+	probeInterval = 500 * time.Millisecond
 )
 
 // newProof returns the authentication header value for a connection to one
@@ -81,6 +85,8 @@
 // link is one outgoing connection and the requests awaiting a response on it.
 type link struct {
 	conn *websocket.Conn
+	// probing is set while the connection is being probed.
+	probing atomic.Bool
 
 	mu       sync.Mutex
 	lastID   uint64
@@ -90,7 +96,8 @@
 }
 
 // request sends a request to a peer and waits for the response. The verdict of an
-// error is NotRun only if the failure occurred before the write.
+// error is NotRun only if the failure occurred before the write. While the request waits, and
+// if it ends without a response, its connection is probed, which may have fallen silent.
 func (p *linkPool) request(ctx context.Context, address string, b wire.Body) (wire.Body, error) {
 	l, err := p.get(ctx, address)
 	if err != nil {
@@ -105,14 +112,34 @@
 		p.remove(address, l, err)
 		return wire.Body{}, &rollout.Failure{Verdict: rollout.MayHaveRun, Reason: rollout.ReasonPeerUnreachable, Cause: err}
 	}
-	select {
-	case response, ok := <-reply:
-		if !ok {
-			return wire.Body{}, &rollout.Failure{Verdict: rollout.MayHaveRun, Reason: rollout.ReasonPeerUnreachable, Cause: errors.New("connection closed before the peer responded")}
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case response, ok := <-reply:
+			if !ok {
+				return wire.Body{}, &rollout.Failure{Verdict: rollout.MayHaveRun, Reason: rollout.ReasonPeerUnreachable, Cause: errors.New("connection closed before the peer responded")}
+			}
+			return response, nil
+		case <-ctx.Done():
+			go p.probe(address, l)
+			return wire.Body{}, rollout.Fail(rollout.MayHaveRun, rollout.ReasonCanceled, ctx.Err())
+		case <-ticker.C:
+			go p.probe(address, l)
 		}
-		return response, nil
-	case <-ctx.Done():
-		return wire.Body{}, rollout.Fail(rollout.MayHaveRun, rollout.ReasonCanceled, ctx.Err())
+	}
+}
+
+// probe removes a link whose peer doesn't answer a ping.
+func (p *linkPool) probe(address string, l *link) {
+	if !l.probing.CompareAndSwap(false, true) {
+		return
+	}
+	defer l.probing.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	if err := l.conn.Ping(ctx); err != nil {
+		p.remove(address, l, err)
 	}
 }
 
