entry: reject an invalid status that the issuer of an identity passes on

A call with an identity runs at the VM that issued it. If that VM runs an older build, it passes a service's status 000 on, and this VM gave it to the caller.

Cause: the response between the VMs, another one than that of the hops, carries the status in its body.

Change: the same check of the status. The verdict is MayHaveRun.

Result: TestInvalidStatusFromOlderBuilds fails without the check for 0, 101 and 999, and passes.

--- a/lagoonlink/internal/entry/services.go
+++ b/lagoonlink/internal/entry/services.go
@@ -15,6 +15,7 @@
 	"lagoonlink.org/lagoonlink/internal/inforce"
 	"lagoonlink.org/lagoonlink/internal/peer"
 	"lagoonlink.org/rollout"
+	"lagoonlink.org/rollout/httpclient"
 	"lagoonlink.org/rollout/placement"
 	"lagoonlink.org/rollout/request"
 	"lagoonlink.org/rollout/wire"
@@ -159,6 +160,10 @@
 	if response.ServiceAnswer == nil {
 		return rollout.CallResponse{}, peer.UnexpectedResponse()
 	}
+	// Older builds pass an invalid status of a service on.
+	if err := httpclient.CheckStatus(response.ServiceAnswer.Status); err != nil {
+		return rollout.CallResponse{}, rollout.Fail(rollout.MayHaveRun, rollout.ReasonServerFailed, err)
+	}
 	return *response.ServiceAnswer, nil
 }
 
