--- a/lagoonlink/internal/attempt/broken_test.go
+++ b/lagoonlink/internal/attempt/broken_test.go
@@ -82,6 +82,13 @@
 	t.Run("a generation", func(t *testing.T) {
 		pieces := encode(t, &responseHead{Server: "s0"}, &pieceHead{Text: "a", Tokens: 1, Finish: "stop"}, &pieceHead{End: true})
 		standin.CheckBrokenHeads(t, wholeResponse(pieces), func(t *testing.T, address string) error { return generateThrough(t, address, nil) })
+		cut := pieces[:len(pieces)-len(encode(t, &pieceHead{End: true}))]
+		for _, ending := range []standin.Ending{standin.Reset, standin.ReadOn} {
+			s := standin.EarlyServer{Response: "HTTP/1.1 200 OK\r\n\r\n" + cut, Delay: 5 * time.Millisecond, Ending: ending}
+			err := generateThrough(t, s.Start(t), make([]byte, standin.UploadBytes))
+			assert.Equal(t, "reason", rollout.FailureOf(err).Reason, rollout.ReasonTruncated)
+			assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.MayHaveRun)
+		}
 	})
 	t.Run("an order", func(t *testing.T) {
 		standin.CheckBrokenHeads(t, wholeResponse(encode(t, &responseHead{Server: "s0"})), func(t *testing.T, address string) error {
