tests: one stand-in for servers that send raw responses

The tests of a whole VM and of hops wrote again what package standin has: a server that handles raw connections, and requests that are held until each has a connection of its own.

Change: standin exports both, and its servers read requests with net/http.

--- a/lagoonlink/internal/forwarding/silence_test.go
+++ b/lagoonlink/internal/forwarding/silence_test.go
@@ -21,33 +21,24 @@
 func TestSilentConnectionsOfHopsAreReplaced(t *testing.T) {
 	const kept = 4
 	response := message(t, passedHead{Status: 200}, "body")
-	// together holds the first requests until each has a connection.
-	var together sync.WaitGroup
-	together.Add(kept)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if body, _ := io.ReadAll(r.Body); len(body) > 0 && body[len(body)-1] == '!' {
-			together.Done()
-			together.Wait()
-		}
-		_, _ = io.WriteString(w, response)
-	}))
+	server := httptest.NewServer(standin.Together(kept, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, response) })))
 	t.Cleanup(server.Close)
 	path := standin.NewSilencer(t, server.Listener.Addr().String())
 	client := forwarding.NewClient(forwarding.ClientConfig{HTTP: httpclient.New(httpclient.Config{ConnectTimeout: time.Second, MaxIdlePerServer: kept})})
-	send := func(body string) error {
+	send := func() error {
 		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 		defer cancel()
-		_, err := client.Forward(ctx, rollout.PeerVM{Name: "b", Address: path.Address}, rollout.ForwardedRequest{ID: "1", Method: "POST", Target: "/x", Body: []byte(body)}, 1)
+		_, err := client.Forward(ctx, rollout.PeerVM{Name: "b", Address: path.Address}, rollout.ForwardedRequest{ID: "1", Method: "POST", Target: "/x", Body: []byte("request")}, 1)
 		return err
 	}
 	var first sync.WaitGroup
 	for range kept {
-		first.Go(func() { assert.NoError(t, "hop before the silence", send("first!")) })
+		first.Go(func() { assert.NoError(t, "hop before the silence", send()) })
 	}
 	first.Wait()
 	path.Silence()
 	failed := 0
-	for err := send("next"); err != nil && failed <= kept; err = send("next") {
+	for err := send(); err != nil && failed <= kept; err = send() {
 		assert.Equal(t, "verdict", rollout.VerdictOf(err), rollout.MayHaveRun)
 		failed++
 	}
--- a/rollout/httpclient/silence_test.go
+++ b/rollout/httpclient/silence_test.go
@@ -18,34 +18,26 @@
 // other, each on another kept connection that has fallen silent.
 func TestRetryAfterSilenceUsesANewConnection(t *testing.T) {
 	const kept = 6
-	var arrived sync.WaitGroup
-	arrived.Add(kept)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/together" {
-			arrived.Done()
-			arrived.Wait()
-		}
-		_, _ = io.WriteString(w, "ok")
-	}))
+	server := httptest.NewServer(standin.Together(kept, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })))
 	defer server.Close()
 	proxy := standin.NewSilencer(t, server.Listener.Addr().String())
 	client := httpclient.New(httpclient.Config{MaxIdlePerServer: kept, RenewAfterSilence: true})
-	call := func(path string) error {
+	call := func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
-		r, err := httpclient.NewRequest(ctx, http.MethodPost, "http://"+proxy.Address+path, []byte("x"))
+		r, err := httpclient.NewRequest(ctx, http.MethodPost, "http://"+proxy.Address+"/", []byte("x"))
 		assert.NoError(t, "new request", err)
 		_, _, err = client.DoAll(r, 100)
 		return err
 	}
 	var calls sync.WaitGroup
 	for range kept {
-		calls.Go(func() { assert.NoError(t, "call", call("/together")) })
+		calls.Go(func() { assert.NoError(t, "call", call()) })
 	}
 	calls.Wait()
 	proxy.Silence()
 	failed := 0
-	for call("/") != nil {
+	for call() != nil {
 		failed++
 	}
 	assert.AtMost(t, "calls that failed after the silence", failed, 1)
--- a/rollout/httpclient/standin/silence.go
+++ b/rollout/httpclient/standin/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -65,3 +66,17 @@
 	directions.Wait()
 	_, _ = client.Close(), server.Close()
 }
+
+// Together returns a handler that holds the first n requests until all of them have arrived,
+// each on a connection of its own.
+func Together(n int64, next http.Handler) http.Handler {
+	var arrived atomic.Int64
+	all := make(chan struct{})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if arrived.Add(1) == n {
+			close(all)
+		}
+		<-all
+		next.ServeHTTP(w, r)
+	})
+}
--- a/rollout/httpclient/standin/standin.go
+++ b/rollout/httpclient/standin/standin.go
@@ -6,7 +6,7 @@
 	"bufio"
 	"io"
 	"net"
-	"net/textproto"
+	"net/http"
 	"testing"
 	"time"
 
@@ -47,9 +47,9 @@
 }
 
 // Start starts the server until the end of the test and returns its address.
-func (s EarlyServer) Start(t testing.TB) string { return start(t, s.serve) }
+func (s EarlyServer) Start(t testing.TB) string { return Serve(t, s.serve) }
 
-func (s EarlyServer) serve(conn *net.TCPConn, request *bufio.Reader) {
+func (s EarlyServer) serve(conn *net.TCPConn, r *http.Request) {
 	_, _ = io.WriteString(conn, s.Response)
 	time.Sleep(s.Delay)
 	if s.Ending != Reset {
@@ -57,7 +57,7 @@
 	}
 	switch s.Ending {
 	case ReadOn:
-		_, _ = io.Copy(io.Discard, request)
+		_, _ = io.Copy(io.Discard, r.Body)
 		return
 	case ResetLater:
 		time.Sleep(resetLaterDelay)
@@ -71,9 +71,10 @@
 	return EarlyServer{Response: response, Ending: ReadOn}.Start(t)
 }
 
-// start starts a server that handles each connection after the header of its first request and
-// then closes it.
-func start(t testing.TB, handle func(conn *net.TCPConn, request *bufio.Reader)) string {
+// Serve starts a server until the end of the test and returns its address. The server passes the
+// first request on each connection to handle once it has read the request's header, and closes
+// the connection afterwards.
+func Serve(t testing.TB, handle func(conn *net.TCPConn, r *http.Request)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, "listen", err)
@@ -91,15 +92,9 @@
 			go func() {
 				defer conn.Close()
 				_ = conn.SetReadBuffer(receiveBufferBytes)
-				request := bufio.NewReader(conn)
-				head := textproto.NewReader(request)
-				if _, err := head.ReadLine(); err != nil {
-					return
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					handle(conn, r)
 				}
-				if _, err := head.ReadMIMEHeader(); err != nil {
-					return
-				}
-				handle(conn, request)
 			}()
 		}
 	}()
