review: stand-ins whose servers leave and whose store answers late

Cause: two further cases need servers that drain and say so in their answers, a store that carries a write out late, and VMs that are stopped and started in turn.

Change: the stand-ins of this review can do so; build-3.sh builds without the state of the repository. No case is touched.

--- a/review/.standin-3/engine.go
+++ b/review/.standin-3/engine.go
@@ -47,6 +47,9 @@
 	// events returns the number of events of an item.
 	events func(id string) int
 	gap    time.Duration
+	// fails reports whether samplers answer 500 to an item, after failTime.
+	fails    func(id string) bool
+	failTime time.Duration
 	// data returns the data of an event of an item.
 	data func(id string, n int) string
 	// items holds what the samplers know of each item.
@@ -60,6 +63,8 @@
 	since    time.Time
 	finished bool
 	runs     []string
+	// arrivals are when the item reached samplers, answers when one answered 500.
+	arrivals, answers []time.Time
 }
 
 func newEngines(w *world, models ...string) *engines {
@@ -226,6 +231,7 @@
 	f.mu.Lock()
 	s := f.item(attempt)
 	s.at++
+	s.arrivals = append(s.arrivals, time.Now())
 	f.mu.Unlock()
 	began, finished := false, false
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -264,6 +270,22 @@
 	s.runs = append(s.runs, id)
 	f.lastBegan = time.Now()
 	f.mu.Unlock()
+	if f.fails != nil && f.fails(attempt) {
+		select {
+		case <-r.Context().Done():
+			f.w.record.add("cut", "sampler", id, "item", attempt)
+			return
+		case <-time.After(f.failTime):
+		}
+		f.w.record.add("failed", "sampler", id, "item", attempt)
+		f.mu.Lock()
+		s.answers = append(s.answers, time.Now())
+		f.mu.Unlock()
+		w.Header().Set("X-Attempt-Id", attempt)
+		w.Header().Set("X-Server-Stamp", stamp(id))
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	f.w.record.add("run", "sampler", id, "item", attempt, "software", e.software, "version", e.version(model), "after-event", last)
 	w.Header().Set("X-Attempt-Id", attempt)
 	w.Header().Set("X-Server-Stamp", stamp(id))
--- a/review/.standin-3/sampler.go
+++ b/review/.standin-3/sampler.go
@@ -79,28 +79,48 @@
 }
 
 func (p *process) announce() {
+	if id, entry := p.report(); entry != nil {
+		p.world.store.put("keyed.servers", id, entry)
+	}
+}
+
+// announceLate makes a status report that gets no answer and is carried out later.
+func (p *process) announceLate(delay time.Duration) {
+	id, entry := p.report()
+	if entry == nil {
+		return
+	}
+	p.world.record.add("report-unanswered", "id", id, "state", entry["state"], "seq", entry["seq"])
+	time.AfterFunc(delay, func() {
+		p.world.store.put("keyed.servers", id, entry)
+		p.world.record.add("report-carried-out", "id", id, "state", entry["state"], "seq", entry["seq"])
+	})
+}
+
+// report returns the next status report, or nil if the process has ended.
+func (p *process) report() (id string, entry map[string]any) {
 	p.mu.Lock()
 	if !p.up {
 		p.mu.Unlock()
-		return
+		return "", nil
 	}
 	state := "ready"
 	if p.draining {
 		state = "draining"
 	}
 	p.seq++
-	entry := map[string]any{
+	entry = map[string]any{
 		"service": p.service, "addr": p.address, "zone": p.zone, "version": p.software, "slots": p.slots, "state": state,
 		"cold_left_ms": 0, "seq": p.seq, "born": p.born,
 	}
-	id := p.id
+	id = p.id
 	p.mu.Unlock()
 	if p.more != nil {
 		for k, v := range p.more() {
 			entry[k] = v
 		}
 	}
-	p.world.store.put("keyed.servers", id, entry)
+	return id, entry
 }
 
 // stop ends the process at once. Its channels are reset, as those of a process that is
@@ -157,7 +177,12 @@
 }
 
 func (p *process) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id, _ := p.identity()
+	p.mu.Lock()
+	id, draining := p.id, p.draining
+	p.mu.Unlock()
+	if draining {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != id {
 		w.Header().Set("X-Instance-Id", id)
 		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
--- a/review/.standin-3/store.go
+++ b/review/.standin-3/store.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,6 +28,8 @@
 type groupMember struct {
 	expires time.Time
 	topic   string
+	// joined orders the members by when they joined.
+	joined int
 }
 
 // store is a stand-in for the platform's store: a partitioned log with one consumer group.
@@ -36,16 +40,81 @@
 
 	members    map[string]*groupMember
 	generation uint64
+	joins      int
 	// holder holds the partitions as they were handed out, target as they shall be.
 	holder, target map[int]string
 
 	address string
+
+	// readsPerS and writesPerS are the calls a second that are served; 0 means no limit.
+	readsPerS, writesPerS float64
+	reads, writes         bucket
+	// served and refused count the calls since the last report.
+	served, refused map[string]int
+}
+
+// bucket is a token bucket that holds the calls of a tenth of a second.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+func (b *bucket) take(rate, n float64) bool {
+	now := time.Now()
+	b.tokens = min(rate/10, b.tokens+rate*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.tokens < n {
+		return false
+	}
+	b.tokens -= n
+	return true
+}
+
+// admits reports whether a call is within the store's rates, and counts it.
+func (s *store) admits(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kind := strings.TrimPrefix(r.URL.Path, "/api/log-")
+	if kind == "read" {
+		kind += "." + r.URL.Query().Get("topic")
+	}
+	ok := true
+	switch {
+	case strings.HasPrefix(kind, "read"), kind == "newest", kind == "owners":
+		ok = s.readsPerS == 0 || s.reads.take(s.readsPerS, 1)
+	case kind == "join":
+		ok = s.writesPerS == 0 || s.writes.take(s.writesPerS, 0.1)
+	default:
+		ok = s.writesPerS == 0 || s.writes.take(s.writesPerS, 1)
+	}
+	if ok {
+		s.served[kind]++
+	} else {
+		s.refused[kind]++
+	}
+	return ok
+}
+
+// report writes how many calls were served and refused since the last report.
+func (s *store) report(r *record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total, refused := 0, 0
+	for _, k := range sortedKeys(s.served) {
+		total += s.served[k]
+	}
+	for _, k := range sortedKeys(s.refused) {
+		refused += s.refused[k]
+	}
+	r.add("store", "served", total, "refused", refused, "kinds", fmt.Sprint(s.served))
+	clear(s.served)
+	clear(s.refused)
 }
 
 func startStore(ip string) (*store, error) {
 	s := &store{
 		records: map[partitionKey][][]byte{}, changed: make(chan struct{}), members: map[string]*groupMember{},
-		holder: map[int]string{}, target: map[int]string{},
+		holder: map[int]string{}, target: map[int]string{}, served: map[string]int{}, refused: map[string]int{},
 	}
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
@@ -92,6 +161,10 @@
 	if err != nil {
 		return
 	}
+	if !s.admits(r) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	q := r.URL.Query()
 	number, _ := strconv.Atoi(q.Get("part"))
 	k := partitionKey{q.Get("topic"), number}
@@ -211,7 +284,8 @@
 	for name := range s.members {
 		names = append(names, name)
 	}
-	slices.Sort(names)
+	// Of members with as few partitions, the one that joined first gets the next one.
+	slices.SortFunc(names, func(a, b string) int { return s.members[a].joined - s.members[b].joined })
 	count := map[string]int{}
 	if len(names) > 0 {
 		most := (partitions + len(names) - 1) / len(names)
@@ -247,8 +321,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isNew := s.members[g.Member] == nil
-	s.members[g.Member] = &groupMember{expires: time.Now().Add(time.Duration(g.TTL) * time.Millisecond), topic: g.Topics[0]}
+	m := s.members[g.Member]
+	isNew := m == nil
+	if isNew {
+		s.joins++
+		m = &groupMember{topic: g.Topics[0], joined: s.joins}
+		s.members[g.Member] = m
+	}
+	m.expires = time.Now().Add(time.Duration(g.TTL) * time.Millisecond)
 	s.deal(isNew)
 	rows := [][3]any{}
 	for p := range partitions {
@@ -288,3 +368,15 @@
 	}
 	reply(w, http.StatusOK, map[string]any{"generation": s.generation, "parts": rows})
 }
+
+// holderOf returns the member that holds the only partition of a topic that has records.
+func (s *store) holderOf(topic string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range partitions {
+		if len(s.records[partitionKey{topic, p}]) > 0 && s.members[s.holder[p]] != nil {
+			return s.holder[p]
+		}
+	}
+	return ""
+}
--- a/review/.standin-3/vm.go
+++ b/review/.standin-3/vm.go
@@ -27,7 +27,7 @@
 // vm is a process of the system, started with the command of the deploy file.
 type vm struct {
 	name, ip, front, ready string
-	folder                 string
+	folder, settings       string
 	command                *exec.Cmd
 	log                    *os.File
 }
@@ -156,21 +156,37 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
+	v.settings = path
 	var err error
 	if v.log, err = os.Create(filepath.Join(w.folder, v.name+".log")); err != nil {
 		return nil, err
 	}
+	w.vms = append(w.vms, v)
+	return v, w.launch(v)
+}
+
+// launch starts a process of a VM.
+func (w *world) launch(v *vm) error {
 	words := deployCommand()
-	v.command = exec.Command(words[0], words[1:]...)
-	v.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LAGOONLINK_SETTINGS=" + path}
-	v.command.Stdout, v.command.Stderr = v.log, v.log
-	v.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := v.command.Start(); err != nil {
-		return nil, err
+	command := exec.Command(words[0], words[1:]...)
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LAGOONLINK_SETTINGS=" + v.settings}
+	command.Stdout, command.Stderr = v.log, v.log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
 	}
+	v.command = command
 	w.record.add("start", "vm", v.name, "front", v.front)
-	w.vms = append(w.vms, v)
-	return v, nil
+	return nil
+}
+
+// stopAndStart stops a VM as the platform does, and starts it again when it has ended.
+func (w *world) stopAndStart(v *vm) error {
+	w.record.add("sigterm", "vm", v.name)
+	_ = v.command.Process.Signal(syscall.SIGTERM)
+	_ = v.command.Wait()
+	time.Sleep(200 * time.Millisecond)
+	return w.launch(v)
 }
 
 // awaitReady waits until all VMs answer the readiness check with 200.
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.standin-3"
 mkdir -p ../../target
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/standin-3 .
+GOWORK=off GOFLAGS=-buildvcs=false go build -o ../../target/standin-3 .
