--- a/review/.standin-3/main.go
+++ b/review/.standin-3/main.go
@@ -8,6 +8,7 @@
 
 var cases = map[string]func(w *world, trouble bool) (held bool, err error){
 	"poison":   runPoison,
+	"failing":  runFailing,
 	"oldbeat":  runOldBeat,
 	"stranded": runStranded,
 	"newlines": runNewlines,
