--- a/review/.standin-3/main.go
+++ b/review/.standin-3/main.go
@@ -9,6 +9,7 @@
 var cases = map[string]func(w *world, trouble bool) (held bool, err error){
 	"poison":   runPoison,
 	"failing":  runFailing,
+	"path":     runPath,
 	"oldbeat":  runOldBeat,
 	"stranded": runStranded,
 	"newlines": runNewlines,
