httpclient: keep the line feeds with which an event's data begins

Cause: EventReader took nil data for no data field yet, and appending an empty first line to nil leaves it nil, so that no line feed followed it. The first field now makes the data non-nil. The engine adapter of the own face relied on nil for events with empty data, which it skips; it goes by the length now.

--- a/rollout/engine/engine.go
+++ b/rollout/engine/engine.go
@@ -182,14 +182,15 @@
 	return rollout.Piece{}, io.EOF
 }
 
-// readEvent returns the data of the next event that has any.
+// readEvent returns the data of the next event that has any. Engines send events with
+// empty data to keep the connection alive.
 func (r *pieceReader) readEvent() ([]byte, error) {
 	for {
 		e, err := r.events.Next()
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
-		if err != nil || e.Data != nil {
+		if err != nil || len(e.Data) > 0 {
 			return e.Data, err
 		}
 	}
--- a/rollout/engine/engine_test.go
+++ b/rollout/engine/engine_test.go
@@ -95,6 +95,18 @@
 	assert.Equal(t, "text", text, "ab")
 }
 
+// TestEventWithEmptyDataIsNoPiece guards against completions that fail because their engine
+// keeps the connection alive with events without data.
+func TestEventWithEmptyDataIsNoPiece(t *testing.T) {
+	for name, empty := range map[string]string{"empty data": "data: \n\n", "no colon": "data\n\n", "no data": "event: ping\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			text, err := generate(t.Context(), startServer(t, 200, nil, empty+event("one", "a", 1, "")+empty+event("one", "b", 1, "stop")+empty+"data: [DONE]\n\n"))
+			assert.NoError(t, "generate", err)
+			assert.Equal(t, "text", text, "ab")
+		})
+	}
+}
+
 // TestTextWithoutEnd guards against engines whose events never end.
 func TestTextWithoutEnd(t *testing.T) {
 	address := startRawServer(t, func(c net.Conn) {
--- a/rollout/httpclient/events.go
+++ b/rollout/httpclient/events.go
@@ -12,7 +12,7 @@
 	// ID is the value of its id field, or empty.
 	ID string
 	// Data holds the values of its data fields, joined by newlines. It is nil if there
-	// are none.
+	// are none, and empty if their only value is.
 	Data []byte
 	// Other holds the values of its other fields by name.
 	Other map[string]string
@@ -57,7 +57,10 @@
 		case string(name) == "id":
 			e.ID = string(value)
 		case string(name) == "data":
-			if e.Data != nil {
+			if e.Data == nil {
+				// Appending an empty first value to nil would leave it nil.
+				e.Data = []byte{}
+			} else {
 				e.Data = append(e.Data, '\n')
 			}
 			e.Data = append(e.Data, value...)
--- a/rollout/job/progress_test.go
+++ b/rollout/job/progress_test.go
@@ -23,6 +23,13 @@
 		assert.Equal(t, "text", string(p.Text()), "a\nb\nc")
 		assert.Equal(t, "versions", p.Versions(), []rollout.WeightVersion{2, 3})
 	})
+	t.Run("separates empty pieces too", func(t *testing.T) {
+		p := job.NewProgress(job.Constraints{})
+		for _, text := range []string{"", "\na", "", ""} {
+			assert.Equal(t, "action", p.Add(piece(text, 1)), job.Keep)
+		}
+		assert.Equal(t, "text", string(p.Text()), "\n\na\n\n")
+	})
 	t.Run("rejects a version that is too old or unknown and keeps the earlier text", func(t *testing.T) {
 		p := job.NewProgress(job.Constraints{MinVersion: 2})
 		p.Add(piece("a", 2))
