dispatch: refuse requests whose own servers have no weights for them

Cause: a text that has begun needs a server of its software version, and Pool.Serves left weight versions out of account. Two servers had the software and older weights, so the items stayed queued; nobody orders them to load newer ones, because orders count the model's servers, and the new ones were enough. The same held for samples that avoid the only server with the weights, whose run had failed there: they waited beside it for good, without a deadline.

Serves now counts weights for requests that may use only some of the servers, and such requests are refused in the queue too. The sample then drops its text, or stops avoiding the server. A model that is being loaded counts as coming.

--- a/lagoonlink/internal/dispatch/dispatch_test.go
+++ b/lagoonlink/internal/dispatch/dispatch_test.go
@@ -215,3 +215,46 @@
 		assert.NoError(t, "grant beside the others", err)
 	}
 }
+
+// TestRequestsForSomeServersAreRefused guards against requests that may use only some of the
+// servers and wait for weights that none of these has or loads.
+func TestRequestsForSomeServersAreRefused(t *testing.T) {
+	software := rollout.SoftwareVersion("v1")
+	loaded := func(v rollout.WeightVersion) rollout.LoadReport {
+		return rollout.LoadReport{Loaded: map[rollout.ModelName]rollout.WeightVersion{"m": v}}
+	}
+	for name, c := range map[string]struct {
+		restrict func(*placement.Requirements)
+		// a and b are the reports of the servers, of which the request may use b alone.
+		a, b    rollout.LoadReport
+		refused bool
+	}{
+		"none of its software version has them": {func(r *placement.Requirements) { r.Software = &software }, loaded(2), loaded(1), true},
+		"all that have them are avoided":        {func(r *placement.Requirements) { r.Avoid = []rollout.ServerName{"a"} }, loaded(2), loaded(1), true},
+		"one of its software version has them":  {func(r *placement.Requirements) { r.Software = &software }, loaded(1), loaded(2), false},
+		"one loads them":                        {func(r *placement.Requirements) { r.Software = &software }, loaded(2), rollout.LoadReport{Loaded: map[rollout.ModelName]rollout.WeightVersion{}}, false},
+		"no server has them":                    {func(*placement.Requirements) {}, loaded(1), loaded(1), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, inForce, _ := start(t)
+			v := view(2, "a", "b")
+			v.Configuration.Pools[0].Servers[0].Software, v.Configuration.Pools[0].Servers[1].Software = "v2", software
+			inForce.Set(v)
+			d.UpdateLoad("p", "a", c.a)
+			// The request is queued before the weights of its server are known.
+			d.UpdateLoad("p", "b", rollout.LoadReport{Loaded: map[rollout.ModelName]rollout.WeightVersion{}})
+			r := newRequest(2, 0)
+			c.restrict(&r.Requirements)
+			queued, err := d.Enqueue(r)
+			assert.NoError(t, "enqueue", err)
+			d.Views(t.Context())
+			d.UpdateLoad("p", "b", c.b)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err = queued.Wait(ctx)
+			assert.Equal(t, "the queued request is refused", rollout.FailureOf(err).Reason == rollout.ReasonNoServer, c.refused)
+			_, err = acquire(t, d, r, 20*time.Millisecond)
+			assert.Equal(t, "the next one is refused", rollout.FailureOf(err).Reason == rollout.ReasonNoServer, c.refused)
+		})
+	}
+}
--- a/lagoonlink/internal/dispatch/resolve.go
+++ b/lagoonlink/internal/dispatch/resolve.go
@@ -67,16 +67,16 @@
 }
 
 // refuseUnservable refuses the queued requests that no server of their target could take
-// even if it were idle. Requests without a deadline wait for a server, unless they need a
-// software version.
+// even if it were idle. Requests without a deadline wait for a server, unless they may use
+// only some of the servers.
 func (d *Dispatcher) refuseUnservable(now time.Time, ts *targetState) {
 	usable := ts.pool.Serves(now, placement.Requirements{})
 	for id, w := range ts.waiting {
 		r := w.req.Requirements
-		if ts.declared && r.Software == nil && w.req.Deadline.IsZero() {
+		if ts.declared && !r.Restricted() && w.req.Deadline.IsZero() {
 			continue
 		}
-		if usable && r.Software == nil && len(r.Avoid) == 0 || ts.pool.Serves(now, r) {
+		if usable && !r.Restricted() || ts.pool.Serves(now, r) {
 			continue
 		}
 		ts.queue.Remove(id)
--- a/lagoonlink/internal/gateway/software_test.go
+++ b/lagoonlink/internal/gateway/software_test.go
@@ -107,3 +107,37 @@
 		})
 	}
 }
+
+// TestTextsDontWaitForWeightsThatNobodyLoads guards against samples that wait for good beside
+// idle servers, because those that may continue their text have weights that are too old, and
+// others have as many as the model needs.
+func TestTextsDontWaitForWeightsThatNobodyLoads(t *testing.T) {
+	lost := rollout.Fail(rollout.MayHaveRun, rollout.ReasonTruncated, errors.New("connection lost"))
+	for name, end := range map[string]func(d *deployment){
+		"the only server with them is lost": func(d *deployment) {
+			d.registerSoftware(4, 2, "v2")
+			d.servers.Put(rollout.Change[rollout.RegisteredServer]{Key: "s0", Deleted: true})
+		},
+		"a run failed at the only server with them": func(d *deployment) { d.engines.SetFailure("s0", nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, 20, 10*time.Millisecond)
+			d.engines.SetVersion("s0", 2)
+			d.engines.SetVersion("s4", 2)
+			d.registerSoftware(0, 2, "v1")
+			for n := 1; n < servers; n++ {
+				d.registerSoftware(n, 1, "v1")
+			}
+			d.engines.SetFailure("s0", lost)
+			d.start("a")
+			s := newJob("waits", 4, 2)
+			d.submit(t, "a", s)
+			for end := time.Now().Add(testTimeout); d.engines.Runs("waits-0") == 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(15 * time.Millisecond)
+			end(d)
+			d.readComplete(t, "a", s)
+		})
+	}
+}
--- a/lagoonlink/internal/standin/engine.go
+++ b/lagoonlink/internal/standin/engine.go
@@ -60,6 +60,13 @@
 	e.incarnations[s] = incarnation
 }
 
+// SetVersion sets the weight version that an engine has loaded.
+func (e *Engines) SetVersion(s rollout.ServerName, v rollout.WeightVersion) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.versions[s] = map[rollout.ModelName]rollout.WeightVersion{e.model: v}
+}
+
 // Runs returns how often a sample was started.
 func (e *Engines) Runs(sample string) int {
 	e.mu.Lock()
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -209,17 +209,29 @@
 	return p.choose(now, eligible, r).declared, true
 }
 
-// Serves reports whether any server could take the request regardless of load,
-// ejections and weight versions.
+// Serves reports whether any server could take the request regardless of load and
+// ejections. Weight versions count only for a request that may use some of the servers:
+// orders provide for as many servers with a version as a model needs, whichever these are,
+// so that such a request may wait in vain for one of its own.
 func (p *Pool) Serves(now time.Time, r Requirements) bool {
 	for _, s := range p.servers {
-		if s.suits(now, r) {
+		if s.suits(now, r) && !(r.Restricted() && s.hasOlderWeights(r)) {
 			return true
 		}
 	}
 	return false
 }
 
+// Restricted reports whether the request may use only some of the servers.
+func (r Requirements) Restricted() bool { return r.Software != nil || len(r.Avoid) > 0 }
+
+// hasOlderWeights reports whether a server is known to have weights that are too old for
+// the request. A model that its report omits is unknown or being loaded.
+func (s *server) hasOlderWeights(r Requirements) bool {
+	v, known := s.report.Loaded[r.Model]
+	return known && v < r.MinVersion
+}
+
 // suits reports whether a server may ever take a request, regardless of its load.
 func (s *server) suits(now time.Time, r Requirements) bool {
 	// A version that isn't known is equal to none.
