dispatch: limit how long texts wait for their software version

A text now waits for its software version for as long as it took to generate, 2 s at most, while a server of another version could take it; then the sample begins anew there. Nothing changes while all servers are busy or have the same software.

TestWaitForSoftwareVersionEnds covers both; it needs the new field and wasn't run before.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -86,6 +86,9 @@
 	// Immediate refuses the request instead of queueing it if no server can take it
 	// now.
 	Immediate bool
+	// SoftwareDeadline is when the request stops waiting for a server of its software version
+	// if one of another version can take it; zero means never. It is refused then.
+	SoftwareDeadline time.Time
 	// Fingerprint identifies the request's content when crashes of servers are
 	// attributed to requests.
 	Fingerprint request.Fingerprint
--- a/lagoonlink/internal/dispatch/dispatch_test.go
+++ b/lagoonlink/internal/dispatch/dispatch_test.go
@@ -258,3 +258,43 @@
 		})
 	}
 }
+
+// TestWaitForSoftwareVersionEnds guards against requests that wait for a busy server of their
+// software version while servers of another one are idle.
+func TestWaitForSoftwareVersionEnds(t *testing.T) {
+	software := rollout.SoftwareVersion("v1")
+	d, inForce, _ := start(t)
+	v := view(2, "a", "b")
+	v.Configuration.Pools[0].Servers[0].Software, v.Configuration.Pools[0].Servers[1].Software = "v2", software
+	inForce.Set(v)
+	fill := func() (granted []*dispatch.Grant) {
+		for {
+			r := newRequest(0, 0)
+			r.Immediate = true
+			g, err := acquire(t, d, r, 5*time.Second)
+			if err != nil {
+				return granted
+			}
+			granted = append(granted, g)
+		}
+	}
+	granted := fill()
+	r := newRequest(0, 0)
+	r.Requirements.Software, r.SoftwareDeadline = &software, time.Now().Add(20*time.Millisecond)
+	waits, err := d.Enqueue(r)
+	assert.NoError(t, "enqueue", err)
+	_, err = acquire(t, d, r, 200*time.Millisecond)
+	assert.Equal(t, "ends while all servers are busy", rollout.FailureOf(err).Reason, rollout.ReasonDeadline)
+	for _, g := range granted {
+		if g.Server.Name == "a" {
+			g.Done(dispatch.Result{})
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err = waits.Wait(ctx)
+	assert.Equal(t, "ends when another server is free", rollout.FailureOf(err).Reason, rollout.ReasonNoServer)
+	r.SoftwareDeadline = time.Time{}
+	_, err = acquire(t, d, r, 200*time.Millisecond)
+	assert.Equal(t, "ends without a deadline for its software version", rollout.FailureOf(err).Reason, rollout.ReasonDeadline)
+}
--- a/lagoonlink/internal/dispatch/resolve.go
+++ b/lagoonlink/internal/dispatch/resolve.go
@@ -67,8 +67,8 @@
 }
 
 // refuseUnservable refuses the queued requests that no server of their target could take
-// even if it were idle. Requests without a deadline wait for a server, unless they may use
-// only some of the servers.
+// even if it were idle, and those whose time to wait for their software version is up.
+// Requests without a deadline wait for a server, unless they may use only some of the servers.
 func (d *Dispatcher) refuseUnservable(now time.Time, ts *targetState) {
 	usable := ts.pool.Serves(now, placement.Requirements{})
 	for id, w := range ts.waiting {
@@ -76,10 +76,27 @@
 		if ts.declared && !r.Restricted() && w.req.Deadline.IsZero() {
 			continue
 		}
-		if usable && !r.Restricted() || ts.pool.Serves(now, r) {
+		var f *rollout.Failure
+		switch {
+		case !(usable && !r.Restricted()) && !ts.pool.Serves(now, r):
+			f = noServer(w.req.Target)
+		case ts.waitsInVain(now, w.req):
+			f = rollout.Refuse(rollout.ReasonNoServer, "no backend server of software version %s was free in time, but others are", *r.Software)
+		default:
 			continue
 		}
 		ts.queue.Remove(id)
-		d.refuseQueued(ts, id, noServer(w.req.Target))
+		d.refuseQueued(ts, id, f)
 	}
 }
+
+// waitsInVain reports whether a request has waited long enough for its software version while
+// a server of another version could take it now.
+func (ts *targetState) waitsInVain(now time.Time, req Request) bool {
+	if req.Requirements.Software == nil || req.SoftwareDeadline.IsZero() || now.Before(req.SoftwareDeadline) {
+		return false
+	}
+	other := req.Requirements
+	other.Software = nil
+	return ts.pool.HasRoom(now, other)
+}
--- a/lagoonlink/internal/jobs/sample.go
+++ b/lagoonlink/internal/jobs/sample.go
@@ -21,7 +21,7 @@
 // Timeouts and limits for running one sample.
 const (
 	// pieceTimeout is the maximum time between two pieces before the sample moves
-	// to another server. A piece takes about 40 ms, a change of weights about 1 s.
+	// to another server. A change of weights takes about 1 s.
 	pieceTimeout = 1600 * time.Millisecond
 	// firstPieceTimeout is the maximum time until the first piece. It is longer
 	// because the engine may queue the sample.
@@ -32,6 +32,11 @@
 	noServerDelay = 150 * time.Millisecond
 	// maxMoves limits how often a sample is moved because its server is slow.
 	maxMoves = 3
+	// pieceTime is the usual time that a server takes for a piece.
+	pieceTime = 40 * time.Millisecond
+	// maxSoftwareWait is the maximum time that a text waits for a server of its software
+	// version while others are free. A step is lost if a sample is at no server for 5 s.
+	maxSoftwareWait = 2 * time.Second
 	// maxUnconfirmed is how many servers in a row may fail to confirm their incarnation
 	// before a text is generated from the start, which any server may do.
 	maxUnconfirmed = 3
@@ -181,6 +186,9 @@
 func (t *sampleRun) acquire(ctx context.Context, ticket **dispatch.Ticket) *dispatch.Grant {
 	d := t.runner.manager.config.Dispatch
 	queuedAt := time.Now()
+	if t.heldUpSince.IsZero() {
+		t.heldUpSince = queuedAt
+	}
 	defer func() { t.queueTime += time.Since(queuedAt) }()
 	used := *ticket
 	*ticket = nil
@@ -261,10 +269,12 @@
 	t.avoid = nil
 }
 
-// dispatchRequest returns the request for a server that may continue the text so far.
+// dispatchRequest returns the request for a server that may continue the text so far. It
+// waits for one no longer than it takes to generate the text again.
 func (t *sampleRun) dispatchRequest(avoid []rollout.ServerName) dispatch.Request {
 	req := t.runner.dispatchRequest(t.run, t.sample, avoid)
 	req.Requirements.Software = t.progress.Software()
+	req.SoftwareDeadline = t.heldUpSince.Add(min(maxSoftwareWait, time.Duration(t.progress.Pieces())*pieceTime))
 	return req
 }
 
@@ -385,6 +395,8 @@
 	routes *routing.Table
 	avoid  []rollout.ServerName
 	moves  int
+	// heldUpSince is since when the sample waits for a server, or zero while it runs.
+	heldUpSince time.Time
 	// unconfirmed counts the servers in a row that did not confirm their incarnation.
 	unconfirmed int
 	// meter measures the current attempt.
@@ -413,6 +425,7 @@
 // or the sample abandoned, and which of them.
 func (t *sampleRun) attempt(ctx context.Context, grant *dispatch.Grant) (outcome job.Outcome, done bool) {
 	t.servers = append(t.servers, grant.Server.Name)
+	t.heldUpSince = time.Time{}
 	startedAt, before := time.Now(), t.progress.Pieces()
 	err := t.generate(ctx, grant)
 	generated := t.progress.Pieces() - before
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -222,6 +222,9 @@
 	return false
 }
 
+// HasRoom reports whether a server can take the request now.
+func (p *Pool) HasRoom(now time.Time, r Requirements) bool { return len(p.eligible(now, r)) > 0 }
+
 // Restricted reports whether the request may use only some of the servers.
 func (r Requirements) Restricted() bool { return r.Software != nil || len(r.Avoid) > 0 }
 
