registry: order entries of servers by their own counts

Cause: entries counted in the order in which they were written; the decoder dropped the server's number of its reports. They are now ordered by the server's start and that number, also for 2 minutes after its removal, when a late entry made a server that was gone look ready. A restarted server counts anew. An entry that seems old but stays for 10 s is taken after all, so that a wrong start time doesn't shut a sound server out.

--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -90,6 +90,7 @@
 	RecordUnreadable       = define(703, logrus.WarnLevel, "a record can't be decoded and is skipped", "Find the program that wrote the record; Feed names its topic, Key its key or offset.")
 	ServerChanged          = define(704, logrus.InfoLevel, "a backend server was added, changed or removed", "None.")
 	ServerLeaving          = define(706, logrus.InfoLevel, "a backend server stated in a response that it is leaving; this incarnation of it gets no new requests from this VM", "None during planned work; otherwise find out who stops the server in Server. Request names the request whose response it was, Source the kind of call.")
+	ServerEntryLate        = define(707, logrus.InfoLevel, "an entry of a backend server was ignored, because a newer one had been read; Incarnation and Sequence are the entry's", "None while the store is impaired; otherwise find out who else writes entries of the server in Server.")
 	VersionPublished       = define(705, logrus.InfoLevel, "a trainer published a weight version", "None.")
 	MembershipLost         = define(710, logrus.WarnLevel, "the group membership can't be renewed", "Check the store; this VM keeps its partitions until another VM owns them.")
 	MembershipRenewed      = define(711, logrus.InfoLevel, "the group membership was renewed again", "None.")
--- a/lagoonlink/internal/fleet/fleet.go
+++ b/lagoonlink/internal/fleet/fleet.go
@@ -130,6 +130,9 @@
 		case now := <-tick.C:
 			f.withLock(func() {
 				if f.registry.Expire(now) {
+					for _, s := range f.registry.Servers() {
+						f.known.ObserveRegistration(s)
+					}
 					f.publish()
 				}
 				f.logFreshness()
@@ -179,6 +182,9 @@
 		}
 	}
 	apply(time.Now(), changes)
+	for _, s := range f.registry.TakeIgnored() {
+		f.config.Logger.Write(event.ServerEntryLate, event.Fields{"Server": s.Name, "Incarnation": s.Incarnation, "Sequence": s.Sequence, "Leaving": s.Leaving})
+	}
 	var d serverChanges
 	for name := range names {
 		after, ok := f.registry.Find(name)
--- a/rollout/journal.go
+++ b/rollout/journal.go
@@ -62,6 +62,9 @@
 	Value T
 	// Deleted reports whether the key was deleted.
 	Deleted bool
+	// Sequence is that of a deleted key's newest entry, as in RegisteredServer, or 0 if it
+	// isn't known.
+	Sequence uint64
 	// Err is the error of decoding the entry; if it is set, Value is not.
 	Err error
 	// Unchanged reports that the entry says the same as the key's former one, such as a
--- a/rollout/registry/history.go
+++ b/rollout/registry/history.go
@@ -24,7 +24,9 @@
 // past is an incarnation that the registry knew.
 type past struct {
 	incarnation int64
-	software    rollout.SoftwareVersion
+	// sequence is that of its newest entry.
+	sequence uint64
+	software rollout.SoftwareVersion
 	// lastKnown is when the incarnation was last registered, by the caller's clock.
 	lastKnown time.Time
 }
@@ -37,7 +39,7 @@
 	list := slices.DeleteFunc(r.history[s.Name], func(p past) bool {
 		return p.incarnation == s.Incarnation || now.Sub(p.lastKnown) >= historyAge
 	})
-	list = append(list, past{incarnation: s.Incarnation, software: s.Software, lastKnown: now})
+	list = append(list, past{incarnation: s.Incarnation, sequence: s.Sequence, software: s.Software, lastKnown: now})
 	slices.SortFunc(list, func(a, b past) int { return cmp.Compare(a.incarnation, b.incarnation) })
 	r.history[s.Name] = list[max(0, len(list)-maxHistory):]
 }
--- a/rollout/registry/registry.go
+++ b/rollout/registry/registry.go
@@ -2,6 +2,10 @@
 // entries in the service discovery store. It does no I/O and reads no clock; the
 // caller passes the time.
 //
+// A later entry is not always a later word of its server: a write without a response may be
+// carried out seconds later. Entries are ordered by the server's start and its own count of
+// them.
+//
 // A deleted entry means that its server is gone, except around an outage of the
 // store, when entries of running servers may lapse too. Such a server stays in
 // use until it has had time to register again.
@@ -33,6 +37,10 @@
 	history map[rollout.ServerName][]past
 	// leaving holds the servers that stated in responses that they are leaving.
 	leaving map[rollout.ServerName]leaving
+	// late holds the entries that are older than the newest known ones but were written after
+	// them; ignored are those that TakeIgnored returns next.
+	late    map[rollout.ServerName]lateEntry
+	ignored []rollout.RegisteredServer
 }
 
 // New returns an empty registry.
@@ -42,6 +50,7 @@
 		lapsed:  map[rollout.ServerName]rollout.RegisteredServer{},
 		history: map[rollout.ServerName][]past{},
 		leaving: map[rollout.ServerName]leaving{},
+		late:    map[rollout.ServerName]lateEntry{},
 	}
 }
 
@@ -68,16 +77,16 @@
 			continue
 		}
 		name := rollout.ServerName(c.Key)
-		if c.Err == nil && !c.Deleted {
-			if old, known := r.Find(name); known && old.Incarnation != c.Value.Incarnation {
-				r.remember(now, old)
-			}
-			r.servers[name] = c.Value
-			delete(r.lapsed, name)
-			continue
+		switch {
+		case c.Err != nil || c.Deleted:
+			// An entry that cannot be decoded removes its server, also around an outage.
+			r.removeServer(now, name, c.Err != nil)
+			r.countRemoved(name, c.Sequence)
+		case r.isLate(c.Value):
+			r.holdLate(now, c.Value)
+		default:
+			r.register(now, c.Value)
 		}
-		// An entry that cannot be decoded removes its server, also around an outage.
-		r.removeServer(now, name, c.Err != nil)
 	}
 }
 
@@ -113,13 +122,14 @@
 	r.Apply(now, changes)
 }
 
-// Expire removes the lapsed servers that did not register again in time and
-// reports whether there were any.
+// Expire removes the lapsed servers that did not register again in time, registers those
+// whose entry seemed late for too long, and reports whether there were any.
 func (r *Registry) Expire(now time.Time) bool {
 	r.forget(now)
 	r.forgetLeaving(now)
+	changed := r.expireLate(now)
 	if len(r.lapsed) == 0 || r.outageRecent(now) {
-		return false
+		return changed
 	}
 	clear(r.lapsed)
 	return true
--- a/rollout/routes.go
+++ b/rollout/routes.go
@@ -142,6 +142,9 @@
 	// Incarnation is when the server started, in Unix milliseconds by its own clock, or 0
 	// if it doesn't say.
 	Incarnation int64
+	// Sequence orders the entries of one incarnation: later ones have higher numbers. It is 0
+	// if the entry doesn't say.
+	Sequence uint64
 	// Reclaimable reports whether the platform may take the server back at short notice.
 	Reclaimable bool
 	// LeavesIn is the time from the entry until a server that is leaving is gone, or 0 if
