directory: order announcements of a VM by its own count

An append without a response may be carried out seconds later, and the announcement that was written last counted. A VM that had left, or that reaches no backend server, looked usable again for up to 10 s, and VMs without a path to servers passed requests on to it.

Announcements state the process's start and their number now. Those of earlier builds, which state neither, count in the order of writing as before.

Without the order, 3 cases of TestLateAnnouncementsAreIgnored fail.

--- a/lagoonlink/internal/directory/announcement.go
+++ b/lagoonlink/internal/directory/announcement.go
@@ -29,6 +29,10 @@
 	// At is when the VM announced itself, in Unix milliseconds by its own clock. Only a VM that
 	// has just started uses it.
 	At int64
+	// Started is when the VM's process started, in Unix milliseconds by its own clock, and
+	// Number counts its announcements from 1. Earlier builds state neither.
+	Started int64  `cbor:",omitempty"`
+	Number  uint64 `cbor:",omitempty"`
 	// Leaving reports whether the VM is stopping and takes no further requests.
 	Leaving bool `cbor:",omitempty"`
 }
@@ -55,3 +59,12 @@
 	}
 	return nil
 }
+
+// precedes reports whether the announcement is older than another one of its VM, although it
+// may have been appended later: an append without a response may be carried out late.
+func (a announcement) precedes(b announcement) bool {
+	if a.Number == 0 || b.Number == 0 {
+		return false
+	}
+	return a.Started < b.Started || a.Started == b.Started && a.Number < b.Number
+}
--- a/lagoonlink/internal/directory/directory.go
+++ b/lagoonlink/internal/directory/directory.go
@@ -70,6 +70,10 @@
 	config  Config
 	leaving chan struct{}
 	leave   sync.Once
+	// startedAt and announced are what announcements state as Started and Number. Only Run
+	// uses them.
+	startedAt time.Time
+	announced uint64
 
 	// refreshing is held while the journal is read.
 	refreshing chan struct{}
@@ -84,7 +88,7 @@
 
 // New returns a Directory that knows no other VMs.
 func New(c Config) *Directory {
-	return &Directory{config: c, leaving: make(chan struct{}), refreshing: make(chan struct{}, 1)}
+	return &Directory{config: c, startedAt: time.Now(), leaving: make(chan struct{}), refreshing: make(chan struct{}, 1)}
 }
 
 // Leave announces that this VM takes no further requests.
@@ -115,7 +119,11 @@
 }
 
 func (d *Directory) announce(ctx context.Context) error {
-	a := announcement{VM: d.config.VM, Zone: d.config.Zone, Address: d.config.Address, Form: Form, Reaches: d.config.Reaches(), At: time.Now().UnixMilli()}
+	d.announced++
+	a := announcement{
+		VM: d.config.VM, Zone: d.config.Zone, Address: d.config.Address, Form: Form, Reaches: d.config.Reaches(), At: time.Now().UnixMilli(),
+		Started: d.startedAt.UnixMilli(), Number: d.announced,
+	}
 	select {
 	case <-d.leaving:
 		a.Leaving = true
@@ -215,7 +223,9 @@
 			if r.Offset < recent && time.Since(time.UnixMilli(a.At)).Abs() > startAge {
 				continue
 			}
-			newest[a.VM] = a
+			if !a.precedes(newest[a.VM]) {
+				newest[a.VM] = a
+			}
 		}
 		if len(result.Records) == 0 || from >= result.Next {
 			return newest, nil
--- a/lagoonlink/internal/directory/directory_test.go
+++ b/lagoonlink/internal/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -54,6 +55,60 @@
 	assert.NoError(t, "append", err)
 }
 
+// TestLateAnnouncementsAreIgnored guards against requests that are passed on to VMs that have
+// left, or that reach no server, after an append that was carried out late.
+func TestLateAnnouncementsAreIgnored(t *testing.T) {
+	b := func(started int64, number uint64, changes map[string]any) map[string]any {
+		fields := map[string]any{"VM": "b", "Zone": "z", "Address": "10.0.0.2:7660", "Form": 1, "Reaches": true, "Started": started, "Number": number}
+		maps.Copy(fields, changes)
+		return fields
+	}
+	leaving, cutOff := map[string]any{"Leaving": true}, map[string]any{"Reaches": false}
+	for name, c := range map[string]struct {
+		said []map[string]any
+		want int
+	}{
+		"of a VM that leaves":                     {[]map[string]any{b(1, 1, nil), b(1, 3, leaving), b(1, 2, nil)}, 0},
+		"of a VM that reaches no server":          {[]map[string]any{b(1, 3, cutOff), b(1, 2, nil)}, 0},
+		"of the process before":                   {[]map[string]any{b(1, 8, nil), b(2, 1, nil), b(1, 9, leaving)}, 1},
+		"a process that was started again counts": {[]map[string]any{b(1, 9, leaving), b(2, 1, nil)}, 1},
+		"a build that states no number counts":    {[]map[string]any{b(1, 9, leaving), b(0, 0, nil)}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := standin.NewStore(1)
+			d := start(t, s, "a")
+			for _, fields := range c.said {
+				say(t, s, fields)
+			}
+			usable := 0
+			for _, p := range d.Peers(t.Context()) {
+				if p.Reaches {
+					usable++
+				}
+			}
+			assert.Equal(t, "usable VMs", usable, c.want)
+		})
+	}
+	t.Run("announcements are numbered", func(t *testing.T) {
+		s := standin.NewStore(1)
+		start(t, s, "a").Leave()
+		for end := time.Now().Add(5 * time.Second); len(s.Records(partition)) < 2 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		var numbers []uint64
+		for _, data := range s.Records(partition) {
+			var a struct {
+				Started int64
+				Number  uint64
+			}
+			assert.NoError(t, "decode", cbor.Unmarshal(data, &a))
+			assert.True(t, "the start is stated", a.Started > 0)
+			numbers = append(numbers, a.Number)
+		}
+		assert.Equal(t, "numbers", numbers, []uint64{1, 2})
+	})
+}
+
 func TestPeers(t *testing.T) {
 	b := func(changes map[string]any) map[string]any {
 		fields := map[string]any{"VM": "b", "Zone": "z", "Address": "10.0.0.2:7660", "Form": 1, "Reaches": true}
