orders: ignore load reports that were requested before the newest one

Polls of one engine run side by side and may be answered out of order. An engine that had said that it is leaving then looked ready until its next report, up to 2 s later, and its weight versions went back.

--- a/lagoonlink/internal/orders/orders.go
+++ b/lagoonlink/internal/orders/orders.go
@@ -59,6 +59,8 @@
 	pool   rollout.PoolName
 	server rollout.ServerName
 	report rollout.LoadReport
+	// askedAt is when the report was requested.
+	askedAt time.Time
 }
 
 type orderResult struct {
@@ -110,6 +112,8 @@
 	fetchingLatest bool
 	lastFetch      time.Time
 	nextEngine     int
+	// reportedAt is when the newest known report of each engine was requested.
+	reportedAt map[rollout.ServerName]time.Time
 	// reportBudget is the number of load reports that may be requested now. It
 	// was last refilled at lastRefill.
 	reportBudget float64
@@ -122,6 +126,7 @@
 		config:         c,
 		pools:          map[rollout.PoolName]*poolState{},
 		claims:         weights.NewClaims(),
+		reportedAt:     map[rollout.ServerName]time.Time{},
 		loadResults:    make(chan loadResult, maxConcurrentCalls),
 		orderResults:   make(chan orderResult, maxConcurrentCalls),
 		appendResults:  make(chan appendResult, maxConcurrentCalls),
@@ -167,6 +172,7 @@
 // configuration.
 func (o *Orders) applyConfiguration(c rollout.Configuration) {
 	declared := map[rollout.PoolName]bool{}
+	reportedAt := map[rollout.ServerName]time.Time{}
 	for _, p := range c.Pools {
 		declared[p.Name] = true
 		s := o.pools[p.Name]
@@ -177,12 +183,14 @@
 		s.pool = p
 		var names []rollout.ServerName
 		for _, e := range p.Servers {
+			reportedAt[e.Name] = o.reportedAt[e.Name]
 			if e.Zone == o.config.Zone && !e.Leaving {
 				names = append(names, e.Name)
 			}
 		}
 		s.waves.SetServers(names)
 	}
+	o.reportedAt = reportedAt
 	for name := range o.pools {
 		if !declared[name] {
 			delete(o.pools, name)
@@ -190,7 +198,12 @@
 	}
 }
 
+// handleLoad applies a report, unless one that was requested later has come first.
 func (o *Orders) handleLoad(r loadResult) {
+	if r.askedAt.Before(o.reportedAt[r.server]) {
+		return
+	}
+	o.reportedAt[r.server] = r.askedAt
 	o.config.Dispatch.UpdateLoad(r.pool, r.server, r.report)
 	if s := o.pools[r.pool]; s != nil {
 		s.waves.ObserveReport(r.server, r.report.Loaded)
@@ -437,12 +450,13 @@
 		defer func() { <-o.callSlots }()
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
+		askedAt := time.Now()
 		r, err := o.config.Engine.Load(ctx, e.server.Address)
 		if err != nil {
 			return
 		}
 		select {
-		case o.loadResults <- loadResult{e.pool, e.server.Name, r}:
+		case o.loadResults <- loadResult{e.pool, e.server.Name, r, askedAt}:
 		case <-ctx.Done():
 		}
 	}()
