dispatch: log why requests wait long for a server

If it fails again, the log has to tell which of the possible waits it is: no server left, others full, paused after refusals, ejected, weights or software that don't fit, or another request of the tenant in front. Until now it only told that a run was interrupted, and how long a sample had waited at its end.

--- a/lagoonlink/internal/dispatch/dispatch.go
+++ b/lagoonlink/internal/dispatch/dispatch.go
@@ -146,6 +146,8 @@
 		id    uint64
 		req   Request
 		reply chan grantReply
+		// queuedAt is when the request was first queued.
+		queuedAt time.Time
 	}
 	cancelMessage struct{ id uint64 }
 	doneMessage   struct {
@@ -223,6 +225,8 @@
 	inFlight map[uint64]*inFlightRequest
 	// departures is what is reported of requests that leave the zone.
 	departures departures
+	// heldUpLoggedAt is when requests that wait long were last logged.
+	heldUpLoggedAt time.Time
 }
 
 // New returns a Dispatcher. Methods that wait for a reply need Run to be running;
@@ -346,6 +350,7 @@
 				if len(ts.waiting) > 0 {
 					d.refuseUnservable(now, ts)
 					d.grantQueued(now, ts)
+					d.logHeldUp(now, ts)
 				}
 			}
 			d.reportZones(now)
@@ -497,6 +502,9 @@
 		m.reply <- grantReply{err: f}
 		return
 	}
+	if m.queuedAt.IsZero() {
+		m.queuedAt = now
+	}
 	ts.waiting[m.id] = m
 	d.grantQueued(now, ts)
 	if _, waiting := ts.waiting[m.id]; waiting && req.Immediate {
--- a/lagoonlink/internal/dispatch/dispatch_test.go
+++ b/lagoonlink/internal/dispatch/dispatch_test.go
@@ -1,9 +1,12 @@
 package dispatch_test
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -298,3 +301,32 @@
 	_, err = acquire(t, d, r, 200*time.Millisecond)
 	assert.Equal(t, "ends without a deadline for its software version", rollout.FailureOf(err).Reason, rollout.ReasonDeadline)
 }
+
+// TestRequestsThatWaitLongAreLogged checks that the log tells what a request waits for.
+func TestRequestsThatWaitLongAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		log := logrus.New()
+		log.SetOutput(&lines)
+		log.SetFormatter(&logrus.JSONFormatter{})
+		inForce := &inforce.Holder{}
+		inForce.Set(view(1, "a", "b"))
+		d := dispatch.New(dispatch.Config{QueueSize: 64, Limits: fair.Limits{Items: 64, TenantItems: 64}, InForce: inForce, Logger: event.NewLogger(log)})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = d.Run(ctx)
+		}()
+		d.UpdateLoad("p", "a", rollout.LoadReport{Leaving: true})
+		d.UpdateLoad("p", "b", rollout.LoadReport{Loaded: map[rollout.ModelName]rollout.WeightVersion{"m": 1}})
+		_, err := acquire(t, d, newRequest(2, 0), 4*time.Second)
+		assert.Equal(t, "the request is not granted", rollout.FailureOf(err).Reason, rollout.ReasonDeadline)
+		cancel()
+		<-ended
+		assert.Equal(t, "lines", strings.Count(lines.String(), "\"Event\":738"), 3)
+		for _, part := range []string{`"Tenant":"t"`, `"MinVersion":2`, `"Leaving":1`, `"OlderWeights":1`, `"None":0`} {
+			assert.True(t, "a line states "+part, strings.Contains(lines.String(), part))
+		}
+	})
+}
--- a/lagoonlink/internal/event/event.go
+++ b/lagoonlink/internal/event/event.go
@@ -114,6 +114,7 @@
 	TextPageCut            = define(735, logrus.InfoLevel, "a page of results ended early because its time was over; the caller reads on from there", "If it repeats, check the store and this VM's load.")
 	TextReadCanceled       = define(736, logrus.InfoLevel, "a read of a job's data was canceled because the caller left or the run ended", "If it repeats, compare Took with how long the callers wait.")
 	JobWaits               = define(737, logrus.InfoLevel, "a job waits until this VM has the memory to run it", "If it recurs, look for callers that submit many large jobs; Bytes is what the job needs of Capacity.")
+	RequestHeldUp          = define(738, logrus.InfoLevel, "requests have waited long for a backend server; the fields are those of the oldest one, Servers counts the servers by why they can't take it", "None if Servers.Full counts nearly all of them; otherwise look at the largest count. If None is not 0, the request waits behind another one of its tenant.")
 	RequestRefused         = define(740, logrus.InfoLevel, "a request was refused without being run", "Look at Reason.")
 	RequestServed          = define(741, logrus.DebugLevel, "a request was answered", "None.")
 	RequestIncomplete      = define(742, logrus.WarnLevel, "a request got no complete answer from a backend server", "Look at Attempts and Error.")
--- a/rollout/placement/pool.go
+++ b/rollout/placement/pool.go
@@ -268,13 +268,17 @@
 	if !s.suits(now, r) || now.Before(s.ejectedUntil) || !s.refusals.permits(now, s.limit) {
 		return false
 	}
-	if r.MaxUnitTime > 0 && (s.unitTime == 0 || s.unitTime > r.MaxUnitTime || now.Sub(s.unitTimeAt) >= unitTimeMaxAge) {
-		return false
-	}
-	if r.MinVersion > 0 && s.report.Loaded != nil && s.report.Loaded[r.Model] < r.MinVersion {
-		return false
-	}
-	return float64(s.inFlight) < p.classLimit(s, r.Class)
+	return !s.isTooSlow(now, r) && s.hasWeights(r) && float64(s.inFlight) < p.classLimit(s, r.Class)
+}
+
+// isTooSlow reports whether a server isn't known to be as fast as a request requires.
+func (s *server) isTooSlow(now time.Time, r Requirements) bool {
+	return r.MaxUnitTime > 0 && (s.unitTime == 0 || s.unitTime > r.MaxUnitTime || now.Sub(s.unitTimeAt) >= unitTimeMaxAge)
+}
+
+// hasWeights reports whether a server has the weights for a request, as far as that is known.
+func (s *server) hasWeights(r Requirements) bool {
+	return r.MinVersion == 0 || s.report.Loaded == nil || s.report.Loaded[r.Model] >= r.MinVersion
 }
 
 func (s *server) isLeaving(now time.Time) bool {
