dispatch: say plainly which queued requests no server can take

Cause: the condition of refuseUnservable mixed a shortcut for unrestricted requests with the question itself, and the log line of requests that wait long joined the names of pool and service into a field of its own.

Change: the shortcut is taken where the answer is computed; the log line has the fields Pool and Service, as other lines have. Nothing else is decided.

--- a/lagoonlink/internal/dispatch/heldup.go
+++ b/lagoonlink/internal/dispatch/heldup.go
@@ -36,7 +36,7 @@
 	ts.heldUpLoggedAt = now
 	r := oldest.req.Requirements
 	fields := event.Fields{
-		"Target": string(ts.target.Pool) + string(ts.target.Service), "Waiting": len(ts.waiting), "Long": long, "Waited": now.Sub(oldest.queuedAt).Seconds(),
+		"Pool": ts.target.Pool, "Service": ts.target.Service, "Waiting": len(ts.waiting), "Long": long, "Waited": now.Sub(oldest.queuedAt).Seconds(),
 		"Class": r.Class.String(), "Tenant": oldest.req.Tenant, "MinVersion": r.MinVersion, "Avoided": r.Avoid, "Suspects": len(ts.suspectServers()), "Servers": ts.pool.Obstacles(now, r),
 	}
 	if r.Software != nil {
--- a/lagoonlink/internal/dispatch/resolve.go
+++ b/lagoonlink/internal/dispatch/resolve.go
@@ -70,15 +70,19 @@
 // even if it were idle, and those whose time to wait for their software version is up.
 // Requests without a deadline wait for a server, unless they may use only some of the servers.
 func (d *Dispatcher) refuseUnservable(now time.Time, ts *targetState) {
-	usable := ts.pool.Serves(now, placement.Requirements{})
+	unrestricted := ts.pool.Serves(now, placement.Requirements{})
 	for id, w := range ts.waiting {
 		r := w.req.Requirements
 		if ts.declared && !r.Restricted() && w.req.Deadline.IsZero() {
 			continue
 		}
+		serves := unrestricted
+		if r.Restricted() {
+			serves = ts.pool.Serves(now, r)
+		}
 		var f *rollout.Failure
 		switch {
-		case !(usable && !r.Restricted()) && !ts.pool.Serves(now, r):
+		case !serves:
 			f = noServer(w.req.Target)
 		case ts.waitsInVain(now, w.req):
 			f = rollout.Refuse(rollout.ReasonNoServer, "no backend server of software version %s was free in time, but others are", *r.Software)
